Add the soak in virtual time, node recovery and focused tests

Change: a presented key must be valid on every queue; a node counts the tasks its name left running before it starts anything, and its first usage call fences off starts of earlier incarnations; a worker's refusal is final for its attempt. Ruled out: counting from lagging reports alone, which misses the last half second before the crash. Seven planted faults each fire their check. Conclusion: the request path holds what its checks name under these faults; nodes do not talk to each other yet.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -47,7 +47,8 @@
                       std::shared_ptr<const settings::snapshot>(loaded, &loaded->checked.typed)});
               }),
       workers(
-          io, settings.node, [this](const requests::worker_replied& reply) { this->apply(reply); },
+          io, settings.node, common::unix_milliseconds(time_source.wall_now()),
+          [this](const requests::worker_replied& reply) { this->apply(reply); },
           [this](const requests::usage_received& usage) { this->apply(usage); }),
       platform(io, 1, max_vm_list_bytes),
       callers(settings.node, settings.longest_wait, this->request_hooks()),
@@ -117,7 +118,8 @@
 
 bool node::is_ready() const
 {
-    return !this->stopping && this->vm_list_seen && this->engine.in_force() != nullptr;
+    return !this->stopping && this->vm_list_seen && this->engine.in_force() != nullptr &&
+           this->engine.has_recovered();
 }
 
 void node::apply(const requests::event& what)
--- a/src/daemon/worker_client.cpp
+++ b/src/daemon/worker_client.cpp
@@ -46,9 +46,10 @@
 } // namespace
 
 worker_client::worker_client(boost::asio::io_context& context, std::string node_name,
-                             reply_handler reply, usage_handler usage)
-    : node(std::move(node_name)), on_reply(std::move(reply)), on_usage(std::move(usage)),
-      client(context, idle_connections_per_worker, max_body_bytes)
+                             std::int64_t node_incarnation, reply_handler reply,
+                             usage_handler usage)
+    : node(std::move(node_name)), incarnation(node_incarnation), on_reply(std::move(reply)),
+      on_usage(std::move(usage)), client(context, idle_connections_per_worker, max_body_bytes)
 {
 }
 
@@ -76,6 +77,7 @@
     workers::start_order order;
     order.attempt = wanted.attempt;
     order.node = this->node;
+    order.incarnation = this->incarnation;
     order.request = wanted.request;
     order.team = wanted.team;
     order.queue = wanted.queue;
@@ -121,7 +123,8 @@
     }
     net::http_request request;
     request.method = "GET";
-    request.target = "/v1/usage";
+    request.target =
+        "/v1/usage?node=" + this->node + "&incarnation=" + std::to_string(this->incarnation);
     this->client.call(
         *peer, std::move(request), answer_time,
         [this, vm](common::result<net::http_response> answer) {
--- a/src/daemon/worker_client.h
+++ b/src/daemon/worker_client.h
@@ -11,8 +11,9 @@
 /// Calls workers over their published interface. Not thread safe: used on the io_context's thread.
 class worker_client {
 public:
-    worker_client(boost::asio::io_context& context, std::string node, reply_handler on_reply,
-                  usage_handler on_usage);
+    /// Precondition: `incarnation` is higher than that of every earlier node of this name.
+    worker_client(boost::asio::io_context& context, std::string node, std::int64_t incarnation,
+                  reply_handler on_reply, usage_handler on_usage);
 
     /// Starts a task; the reply comes when the task ends, or when it still runs after a while.
     void start(const requests::start_task& wanted, bool repeatable,
@@ -32,6 +33,7 @@
               net::http_request request, bool is_query);
 
     std::string node;
+    std::int64_t incarnation;
     reply_handler on_reply;
     usage_handler on_usage;
     net::http_client client;
--- a/src/fakes/fake_worker.cpp
+++ b/src/fakes/fake_worker.cpp
@@ -160,8 +160,10 @@
 {
     const std::string path = request.path();
     if (path == "/v1/usage") {
-        return net::json_response(200,
-                                  workers::to_json(this->model.usage(this->clock.steady_now())));
+        const auto usage = this->model.usage(request.query("node"),
+                                             std::atoll(request.query("incarnation").c_str()),
+                                             this->clock.steady_now());
+        return net::json_response(200, workers::to_json(usage));
     }
     if (path == "/v1/log") {
         json entries = json::array();
--- a/src/fakes/worker_model.cpp
+++ b/src/fakes/worker_model.cpp
@@ -41,7 +41,8 @@
     if (order.attempt.epoch != this->epoch_text) {
         return {reply_kind::epoch_changed, false, {}, {}};
     }
-    if (this->forbidden.contains({order.attempt.task, order.attempt.number})) {
+    const bool fenced = order.incarnation < this->incarnations[order.node];
+    if (fenced || this->forbidden.contains({order.attempt.task, order.attempt.number})) {
         return {reply_kind::not_started, false, {}, {}};
     }
     const auto known = this->tasks.find(order.attempt.task);
@@ -52,12 +53,15 @@
             return this->reply_of(known->second);
         }
     }
+    // A refusal is final for its attempt: a copy that arrives later must not start either.
     if (this->draining) {
+        this->forbidden.insert({order.attempt.task, order.attempt.number});
         return {reply_kind::draining, false, {}, {}};
     }
     teams::resources left = this->capacity;
     left -= this->used;
     if (!left.holds(order.need)) {
+        this->forbidden.insert({order.attempt.task, order.attempt.number});
         return {reply_kind::full, false, {}, {}};
     }
     this->used += order.need;
@@ -182,15 +186,22 @@
     this->reported_at.reset();
 }
 
-usage_snapshot worker_model::usage(common::steady_time now)
+usage_snapshot worker_model::usage(const std::string& node, std::int64_t incarnation,
+                                   common::steady_time now)
 {
     this->advance(now);
+    std::int64_t& newest = this->incarnations[node];
+    if (incarnation > newest) {
+        newest = incarnation;
+        this->reported_at.reset();
+    }
     const bool stale = !this->reported_at || now - *this->reported_at >= this->switches.usage_lag;
     if (stale) {
         this->reported = {this->epoch_text, this->draining, {}};
         for (const auto& [id, each] : this->tasks) {
             if (each.state == task_state::running) {
-                this->reported.by_node[each.order.node] += each.order.need;
+                this->reported.tasks.push_back({id, each.order.request, each.order.attempt.number,
+                                                each.order.node, each.order.team, each.order.need});
             }
         }
         this->reported_at = now;
@@ -203,6 +214,13 @@
     return this->used.slots;
 }
 
+std::int64_t worker_model::running_of(const std::string& team) const
+{
+    return std::count_if(this->tasks.begin(), this->tasks.end(), [&team](const auto& item) {
+        return item.second.state == task_state::running && item.second.order.team == team;
+    });
+}
+
 bool worker_model::is_draining() const
 {
     return this->draining;
--- a/src/fakes/worker_model.h
+++ b/src/fakes/worker_model.h
@@ -80,10 +80,13 @@
     /// Starts anew: running tasks are lost and everything is forgotten but the log.
     void reboot();
 
-    /// Returns the last report, which lags behind.
-    usage_snapshot usage(common::steady_time now);
+    /// Returns the last report, which lags behind. A node's first call under a new incarnation gets
+    /// a report of this moment, and fences off the starts of its earlier incarnations.
+    usage_snapshot usage(const std::string& node, std::int64_t incarnation,
+                         common::steady_time now);
 
     [[nodiscard]] std::int64_t running() const;
+    [[nodiscard]] std::int64_t running_of(const std::string& team) const;
     [[nodiscard]] bool is_draining() const;
     [[nodiscard]] const std::string& vm() const;
     [[nodiscard]] const std::string& epoch() const;
@@ -120,6 +123,7 @@
     std::map<std::string, task> tasks;
     std::set<std::pair<std::string, int>> forbidden; ///< task and attempt
     std::vector<start_entry> starts;
+    std::map<std::string, std::int64_t> incarnations; ///< by node, the newest seen
     usage_snapshot reported;
     std::optional<common::steady_time> reported_at;
 };
--- a/src/requests/engine.h
+++ b/src/requests/engine.h
@@ -85,6 +85,10 @@
     /// Returns a request of this node, or null when it is unknown or forgotten.
     [[nodiscard]] const record* find(const std::string& id) const;
 
+    /// Tells whether the engine starts tasks: every listed upstream has reported, or was silent for
+    /// so long that what it ran for this node's predecessor is over.
+    [[nodiscard]] bool has_recovered() const;
+
     /// Returns how many requests have not ended.
     [[nodiscard]] std::size_t open_requests() const;
 
@@ -140,6 +144,11 @@
     void end_without_queue(record& each);
     [[nodiscard]] common::milliseconds expected_wait(const record& each) const;
 
+    // Recovery: what a node of this name left running before this engine was made.
+    void take_inherited(const std::string& vm, const std::vector<routing::reported_task>& tasks);
+    void drop_silent_inherited();
+    [[nodiscard]] bool is_recovering() const;
+
     // Placement.
     void dispatch_all();
     void dispatch(const std::string& pool);
@@ -184,6 +193,10 @@
     std::map<std::string, int> urgent_streaks; ///< by pool: urgent starts since a normal one
     std::map<std::string, routing::run_time_estimator> estimators;
     std::map<std::string, orphan> orphans;
+    std::map<std::string, std::map<std::string, routing::reported_task>> inherited; ///< by VM, task
+    std::set<std::string> unheard_vms; ///< listed, but without a report since this engine was made
+    std::map<std::string, common::steady_time> heard_vms; ///< with the time of the last report
+    std::optional<common::steady_time> made_at;
     std::multimap<common::steady_time, timer> timers;
     std::deque<std::string> ended_order;
     std::size_t open_count = 0;
--- a/src/requests/engine_admission.h
+++ b/src/requests/engine_admission.h
@@ -19,6 +19,9 @@
 actions engine<Guard>::on_event(const event& what, common::steady_time at)
 {
     this->now = at;
+    if (!this->made_at) {
+        this->made_at = at;
+    }
     this->pending.clear();
     std::visit([this](const auto& each) { this->handle(each); }, what);
     return std::move(this->pending);
@@ -81,7 +84,7 @@
             return false;
         }
         each.who = who.value();
-    } else if (queue.open) {
+    } else if (queue.open && each.request.presented_key.empty()) {
         each.who = {queue.open_team, {}};
     } else {
         this->refuse(each, refusal::wrong_key, who.error().detail);
@@ -327,6 +330,13 @@
 void engine<Guard>::handle(const vm_list_received& received)
 {
     this->view.update_vm_list(received.vms);
+    this->drop_silent_inherited();
+    this->unheard_vms.clear();
+    for (const routing::upstream_info& each : received.vms) {
+        if (!this->heard_vms.contains(each.vm)) {
+            this->unheard_vms.insert(each.vm);
+        }
+    }
     this->shares.set_capacity(this->view.total_size());
     this->dispatch_all();
 }
@@ -335,6 +345,61 @@
 void engine<Guard>::handle(const usage_received& received)
 {
     this->view.update_usage(received.vm, received.report);
+    this->take_inherited(received.vm, received.report.own);
+    this->heard_vms[received.vm] = this->now;
+    this->unheard_vms.erase(received.vm);
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::drop_silent_inherited()
+{
+    for (const auto& [vm, heard_at] : this->heard_vms) {
+        // By now the upstream has stopped what nobody asked for, or it is gone.
+        if (this->now > heard_at + this->options.task_lease + this->options.lease_margin) {
+            this->take_inherited(vm, {});
+        }
+    }
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::take_inherited(const std::string& vm,
+                                   const std::vector<routing::reported_task>& tasks)
+{
+    auto& known = this->inherited[vm];
+    std::map<std::string, routing::reported_task> reported;
+    for (const routing::reported_task& each : tasks) {
+        if (!this->id_of_task.contains(each.task)) {
+            reported[each.task] = each;
+        }
+    }
+    for (const auto& [task, each] : reported) {
+        if (!known.contains(task)) {
+            this->guard.acquire(each.team);
+            this->shares.add_running(each.team, each.need);
+            this->view.add_own(vm, each.need);
+        }
+    }
+    for (const auto& [task, each] : known) {
+        if (!reported.contains(task)) {
+            this->guard.release(each.team);
+            this->shares.remove_running(each.team, each.need);
+            this->view.remove_own(vm, each.need);
+        }
+    }
+    known = std::move(reported);
+}
+
+template <teams::limit_guard_type Guard>
+bool engine<Guard>::is_recovering() const
+{
+    const auto longest_left = this->options.task_lease + this->options.lease_margin;
+    return !this->unheard_vms.empty() && this->now < *this->made_at + longest_left;
+}
+
+template <teams::limit_guard_type Guard>
+bool engine<Guard>::has_recovered() const
+{
+    return this->made_at && !this->heard_vms.empty() && !this->is_recovering();
 }
 
 template <teams::limit_guard_type Guard>
--- a/src/requests/engine_dispatch.h
+++ b/src/requests/engine_dispatch.h
@@ -49,6 +49,9 @@
 template <teams::limit_guard_type Guard>
 bool engine<Guard>::dispatch_class(const std::string& pool, bool urgent)
 {
+    if (this->is_recovering()) {
+        return false;
+    }
     waiting_line& line = this->lines[pool];
     std::vector<std::pair<double, std::string>> order;
     for (const std::string& team : line.teams_waiting(urgent)) {
--- a/src/routing/upstream.h
+++ b/src/routing/upstream.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "common/clock.h"
 #include "teams/fair_share.h"
@@ -21,11 +22,21 @@
     friend bool operator==(const upstream_info&, const upstream_info&) = default;
 };
 
+/// A task that an upstream reports as running.
+struct reported_task {
+    std::string task;
+    std::string team;
+    teams::resources need;
+
+    friend bool operator==(const reported_task&, const reported_task&) = default;
+};
+
 /// What an upstream last said of its use. It lags behind what runs there.
 struct usage_report {
     std::string epoch;          ///< changes whenever the upstream starts anew
     teams::resources by_others; ///< held by tasks of other entry nodes
     bool draining = false;
+    std::vector<reported_task> own; ///< tasks that this node, or one of its name before, started
 
     friend bool operator==(const usage_report&, const usage_report&) = default;
 };
--- a/src/routing/upstream_view.cpp
+++ b/src/routing/upstream_view.cpp
@@ -238,9 +238,12 @@
 
 std::int64_t upstream_view::add_own(const std::string& vm, const teams::resources& need)
 {
-    entry& each = this->entries[vm];
-    each.own += need;
-    return each.own.slots;
+    const auto found = this->entries.find(vm);
+    if (found == this->entries.end()) {
+        return 0;
+    }
+    found->second.own += need;
+    return found->second.own.slots;
 }
 
 void upstream_view::remove_own(const std::string& vm, const teams::resources& need)
--- /dev/null
+++ b/src/soak/main.cpp
@@ -0,0 +1,94 @@
+#include <iostream>
+
+#include <tclap/CmdLine.h>
+
+#include "soak/world.h"
+
+namespace {
+
+constexpr int exit_usage = 2;
+
+const std::map<std::string, chervilslip::requests::planted_fault>& planted_faults()
+{
+    using fault = chervilslip::requests::planted_fault;
+    static const std::map<std::string, fault> faults{
+        {"none", fault::none},
+        {"wrong_team", fault::wrong_team},
+        {"ignore_limit", fault::ignore_limit},
+        {"repeat_unrepeatable", fault::repeat_unrepeatable},
+        {"accept_any_answer", fault::accept_any_answer},
+        {"claim_not_run", fault::claim_not_run},
+        {"ignore_slots", fault::ignore_slots},
+        {"skip_stage", fault::skip_stage},
+    };
+    return faults;
+}
+
+int run(const chervilslip::soak::world_options& options)
+{
+    const auto report = chervilslip::soak::world(options).run();
+    for (const auto& [name, count] : report.checks_by_name) {
+        std::cout << "check " << name << ": " << count << "\n";
+    }
+    for (const auto& [fate, count] : report.fates) {
+        std::cout << "fate " << fate << ": " << count << "\n";
+    }
+    std::cout << "starts: " << report.starts << "\n";
+    for (const std::string& line : report.followed) {
+        std::cout << "followed " << line << "\n";
+    }
+    for (const auto& [name, count] : report.violations_by_name) {
+        std::cout << "violated " << name << ": " << count << "\n";
+    }
+    if (report.violations > 0) {
+        std::cout << "shortest prefix: --seed " << options.seed << " --steps "
+                  << report.first_violation_step << "\n";
+        for (const std::string& line : report.trace) {
+            std::cout << "  " << line << "\n";
+        }
+    }
+    std::cout << "soak: seed=" << options.seed << " steps=" << report.steps
+              << " checks=" << report.checks << " violations=" << report.violations << std::endl;
+    return report.violations == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        TCLAP::CmdLine arguments("Runs the decisions of many nodes in virtual time from a seed.");
+        const TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "the seed", false, 1, "N",
+                                                  arguments);
+        const TCLAP::ValueArg<std::uint64_t> steps("n", "steps", "events before things settle",
+                                                   false, 200'000, "N", arguments);
+        const TCLAP::ValueArg<int> nodes("", "nodes", "entry nodes", false, 8, "N", arguments);
+        const TCLAP::ValueArg<int> zones("", "zones", "availability zones", false, 3, "N",
+                                         arguments);
+        const TCLAP::ValueArg<std::string> plant("", "plant", "a planted fault", false, "none",
+                                                 "NAME", arguments);
+        const TCLAP::ValueArg<int> workers("", "workers", "workers", false, 24, "N", arguments);
+        const TCLAP::ValueArg<std::string> follow(
+            "", "follow", "print all events that name this request, node or worker", false, "",
+            "WORD", arguments);
+        arguments.parse(argc, argv);
+        const auto fault = planted_faults().find(plant.getValue());
+        if (fault == planted_faults().end()) {
+            std::cerr << "chervilslip-soak: planted fault \"" << plant.getValue()
+                      << "\" does not exist\n";
+            return exit_usage;
+        }
+        chervilslip::soak::world_options options;
+        options.seed = seed.getValue();
+        options.steps = steps.getValue();
+        options.nodes = nodes.getValue();
+        options.zones = zones.getValue();
+        options.workers = workers.getValue();
+        options.follow = follow.getValue();
+        options.fault = fault->second;
+        return run(options);
+    } catch (const TCLAP::ArgException& failure) {
+        std::cerr << "chervilslip-soak: " << failure.error() << " " << failure.argId() << "\n";
+        return exit_usage;
+    }
+}
--- a/src/workers/protocol.cpp
+++ b/src/workers/protocol.cpp
@@ -68,6 +68,7 @@
             {"worker", order.attempt.worker},
             {"epoch", order.attempt.epoch},
             {"node", order.node},
+            {"incarnation", order.incarnation},
             {"request", order.request},
             {"team", order.team},
             {"queue", order.queue},
@@ -88,11 +89,16 @@
 
 json to_json(const usage_snapshot& usage)
 {
-    json nodes = json::object();
-    for (const auto& [node, amounts] : usage.by_node) {
-        nodes[node] = resources_json(amounts);
+    json tasks = json::array();
+    for (const running_task& each : usage.tasks) {
+        tasks.push_back({{"task", each.task},
+                         {"request", each.request},
+                         {"attempt", each.attempt},
+                         {"node", each.node},
+                         {"team", each.team},
+                         {"need", resources_json(each.need)}});
     }
-    return {{"epoch", usage.epoch}, {"draining", usage.draining}, {"by_node", nodes}};
+    return {{"epoch", usage.epoch}, {"draining", usage.draining}, {"tasks", tasks}};
 }
 
 common::result<start_order> parse_start_order(const std::string& text, const std::string& peer)
@@ -103,6 +109,7 @@
                          source.at("worker").get<std::string>(),
                          source.at("epoch").get<std::string>()};
         order.node = source.at("node").get<std::string>();
+        order.incarnation = source.at("incarnation").get<std::int64_t>();
         order.request = source.at("request").get<std::string>();
         order.team = source.at("team").get<std::string>();
         order.queue = source.at("queue").get<std::string>();
@@ -121,8 +128,11 @@
         usage_snapshot usage;
         usage.epoch = source.at("epoch").get<std::string>();
         usage.draining = source.at("draining").get<bool>();
-        for (const auto& item : source.at("by_node").items()) {
-            usage.by_node[item.key()] = parse_resources(item.value());
+        for (const json& each : source.at("tasks")) {
+            usage.tasks.push_back(
+                {each.at("task").get<std::string>(), each.at("request").get<std::string>(),
+                 each.at("attempt").get<int>(), each.at("node").get<std::string>(),
+                 each.at("team").get<std::string>(), parse_resources(each.at("need"))});
         }
         return usage;
     });
@@ -153,10 +163,12 @@
 
 routing::usage_report report_for_node(const usage_snapshot& usage, const std::string& node)
 {
-    routing::usage_report report{usage.epoch, {}, usage.draining};
-    for (const auto& [other, amounts] : usage.by_node) {
-        if (other != node) {
-            report.by_others += amounts;
+    routing::usage_report report{usage.epoch, {}, usage.draining, {}};
+    for (const running_task& each : usage.tasks) {
+        if (each.node == node) {
+            report.own.push_back({each.task, each.team, each.need});
+        } else {
+            report.by_others += each.need;
         }
     }
     return report;
--- a/src/workers/protocol.h
+++ b/src/workers/protocol.h
@@ -12,6 +12,7 @@
 struct start_order {
     requests::attempt_id attempt;
     std::string node;
+    std::int64_t incarnation = 0; ///< grows with each start of a node of that name
     std::string request;
     std::string team;
     std::string queue;
@@ -34,11 +35,23 @@
     friend bool operator==(const task_reply&, const task_reply&) = default;
 };
 
+/// A task that a worker reports as running.
+struct running_task {
+    std::string task;
+    std::string request;
+    int attempt = 0;
+    std::string node; ///< that started it
+    std::string team;
+    teams::resources need;
+
+    friend bool operator==(const running_task&, const running_task&) = default;
+};
+
 /// What a worker reports of its use; it may be older than now.
 struct usage_snapshot {
     std::string epoch;
     bool draining = false;
-    std::map<std::string, teams::resources> by_node;
+    std::vector<running_task> tasks;
 
     friend bool operator==(const usage_snapshot&, const usage_snapshot&) = default;
 };
