--- a/src/fakes/fake_worker.cpp
+++ b/src/fakes/fake_worker.cpp
@@ -30,7 +30,7 @@
 {
     return {{"at_ms", entry.at_ms}, {"vm", entry.vm},       {"epoch", entry.epoch},
             {"task", entry.task},   {"node", entry.node},   {"request", entry.request},
-            {"team", entry.team},   {"queue", entry.queue}, {"attempt", entry.attempt}};
+            {"team", entry.team},   {"queue", entry.queue}, {"body", entry.body}, {"attempt", entry.attempt}};
 }
 
 } // namespace
--- a/src/fakes/worker_model.cpp
+++ b/src/fakes/worker_model.cpp
@@ -76,8 +76,7 @@
     each.ends = now + (this->switches.fails_everything ? common::milliseconds{1} : run_time);
     each.lease_until = now + order.lease;
     this->starts.push_back({milliseconds_of(now), this->name, this->epoch_text, order.attempt.task,
-                            order.request, order.node, order.team, order.queue,
-                            order.attempt.number});
+                            order.request, order.node, order.team, order.queue, order.body, order.attempt.number});
     return this->reply_of(each);
 }
 
--- a/src/fakes/worker_model.h
+++ b/src/fakes/worker_model.h
@@ -19,6 +19,7 @@
     std::string node;
     std::string team;
     std::string queue;
+    std::string body;
     int attempt = 0;
 
     friend bool operator==(const start_entry&, const start_entry&) = default;
