--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,7 +5,7 @@
 packages=(
     g++ cmake ninja-build ccache make python3 git ca-certificates
     clang clang-format clang-tidy
-    libboost-dev libboost-system-dev libmsgpack-cxx-dev nlohmann-json3-dev
+    libboost-dev libboost-system-dev nlohmann-json3-dev
     prometheus-cpp-dev libtclap-dev liblog4cplus-dev libssl-dev
     libcriterion-dev libbenchmark-dev
 )
--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -36,6 +36,7 @@
     invariant_violated = 5005,
     bad_request = 6001,
     connection_refused = 6002,
+    peer_refused = 6003,
 };
 
 /// One row of the catalogue of log events.
@@ -45,7 +46,7 @@
     severity level;
 };
 
-inline constexpr std::array<event_entry, 23> event_catalogue{{
+inline constexpr std::array<event_entry, 24> event_catalogue{{
     {event_id::node_started, "node_started", severity::info},
     {event_id::node_ready, "node_ready", severity::info},
     {event_id::node_stopping, "node_stopping", severity::info},
@@ -69,6 +70,7 @@
     {event_id::invariant_violated, "invariant_violated", severity::alarm},
     {event_id::bad_request, "bad_request", severity::info},
     {event_id::connection_refused, "connection_refused", severity::warning},
+    {event_id::peer_refused, "peer_refused", severity::warning},
 }};
 
 /// Writes numbered events as one JSON object a line through log4cplus.
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -11,6 +11,7 @@
 using nlohmann::json;
 
 constexpr common::milliseconds tick_time{10};
+constexpr common::milliseconds beat_time{500};
 constexpr common::milliseconds drain_check_time{20};
 constexpr common::milliseconds last_answers_time{300};
 constexpr common::milliseconds vm_list_time_limit{2000};
@@ -19,6 +20,7 @@
 requests::engine_options options_of(const node_settings& settings)
 {
     requests::engine_options options;
+    options.node = settings.node;
     options.zone = settings.zone;
     options.choice = settings.choice;
     options.position = settings.position;
@@ -29,8 +31,12 @@
 
 node::node(boost::asio::io_context& io, const common::clock& time_source, node_settings wanted,
            std::uint64_t seed)
-    : context(io), clock(time_source), settings(std::move(wanted)), log(settings.node),
-      random(seed), invariants([this](common::invariant which, const std::string& detail) {
+    : context(io), clock(time_source),
+      settings(std::move(wanted)), self{settings.node, settings.zone,
+                                        settings.peer_listen.to_string(),
+                                        common::unix_milliseconds(time_source.wall_now())},
+      log(settings.node), random(seed),
+      invariants([this](common::invariant which, const std::string& detail) {
           this->log.write(common::event_id::invariant_violated,
                           {{"invariant", common::to_string(which)}, {"detail", detail}});
       }),
@@ -47,11 +53,24 @@
                       std::shared_ptr<const settings::snapshot>(loaded, &loaded->checked.typed)});
               }),
       workers(
-          io, settings.node, common::unix_milliseconds(time_source.wall_now()),
+          io, settings.node, self.incarnation,
           [this](const requests::worker_replied& reply) { this->apply(reply); },
+          [this](const requests::claim_replied& reply) { this->apply(reply); },
           [this](const requests::usage_received& usage) { this->apply(usage); }),
       platform(io, 1, max_vm_list_bytes),
       callers(settings.node, settings.longest_wait, this->request_hooks()),
+      others(
+          io, time_source, self, settings.peer_secret, watcher,
+          [this](const net::http_request& request, std::shared_ptr<net::http_exchange> exchange) {
+              this->callers.handle(request, std::move(exchange));
+          },
+          this->peer_hooks()),
+      nodes(store, time_source, log, random, self,
+            [this](const membership::member& each) {
+                if (const auto address = net::parse_endpoint(each.address)) {
+                    this->others.connect_to(*address);
+                }
+            }),
       operators(settings.operator_token, watcher, repository, log, this->operator_hooks()),
       caller_server(
           io, settings.http,
@@ -83,12 +102,45 @@
 }
 
 request_api_hooks node::request_hooks()
+{
+    request_api_hooks hooks;
+    hooks.apply = [this](const requests::event& what) {
+        this->apply(what);
+    };
+    hooks.find = [this](const std::string& id) {
+        return this->engine.find(id);
+    };
+    hooks.in_force = [this] {
+        return this->engine.in_force();
+    };
+    hooks.is_ready = [this] {
+        return this->is_ready();
+    };
+    hooks.after = [this](common::milliseconds delay, std::function<void()> action) {
+        this->after(delay, std::move(action));
+    };
+    hooks.pass_on = [this](const std::string& to, const net::http_request& request,
+                           std::shared_ptr<net::http_exchange> exchange) {
+        return this->others.pass_on(to, request, std::move(exchange));
+    };
+    hooks.home_of = [this](const std::string& task) {
+        return this->others.home_of(task);
+    };
+    hooks.must_claim = [this](const std::string& task) {
+        return this->others.must_claim(task);
+    };
+    hooks.look_up = [this](const std::string& task, lookup_handler handler) {
+        look_up_task(this->workers, this->engine.upstreams().all(), task, std::move(handler));
+    };
+    return hooks;
+}
+
+peers_hooks node::peer_hooks()
 {
     return {[this](const requests::event& what) { this->apply(what); },
-            [this](const std::string& id) { return this->engine.find(id); },
-            [this] { return this->engine.in_force(); }, [this] { return this->is_ready(); },
-            [this](common::milliseconds delay, std::function<void()> action) {
-                this->after(delay, std::move(action));
+            [this] { return this->engine.running(); },
+            [this](const common::error& cause) {
+                this->log.write(common::event_id::peer_refused, {{"error", cause.to_string()}});
             }};
 }
 
@@ -108,11 +160,20 @@
                      {"operator_listen", this->settings.operator_listen.to_string()}});
     BOOST_OUTCOME_TRY(this->caller_server.listen(this->settings.listen));
     BOOST_OUTCOME_TRY(this->operator_server.listen(this->settings.operator_listen));
+    BOOST_OUTCOME_TRY(this->others.listen());
+    for (const net::endpoint& each : this->settings.peers) {
+        this->others.connect_to(each);
+    }
     this->watcher.start();
+    this->nodes.start();
+    this->repeat(beat_time, [this] { this->others.beat(); });
     this->poll_vm_list();
     this->repeat(this->settings.vm_list_poll, [this] { this->poll_vm_list(); });
     this->repeat(this->settings.usage_poll, [this] { this->poll_usage(); });
-    this->repeat(tick_time, [this] { this->apply(requests::ticked{}); });
+    this->repeat(tick_time, [this] {
+        this->others.tick();
+        this->apply(requests::ticked{});
+    });
     return boost::outcome_v2::success();
 }
 
@@ -154,6 +215,16 @@
     this->workers.stop(wanted);
 }
 
+void node::execute(const requests::claim_task& wanted)
+{
+    this->workers.claim(wanted, this->options.claim_memory);
+}
+
+void node::execute(const requests::adopt_task& wanted)
+{
+    this->workers.adopt(wanted, this->options.task_lease);
+}
+
 void node::execute(const requests::give_answer& wanted)
 {
     this->callers.deliver(wanted.id, wanted.whole);
@@ -269,8 +340,14 @@
                                                                       : "probing";
         }
     }
+    json live = json::array();
+    for (const membership::member& each : this->others.live()) {
+        live.push_back(each.name);
+    }
     const auto in_force = this->watcher.in_force();
-    return {{"node", this->settings.node},
+    return {{"peers", live},
+            {"peer_bytes_sent", this->others.bytes_sent()},
+            {"node", this->settings.node},
             {"zone", this->settings.zone},
             {"ready", this->is_ready()},
             {"stopping", this->stopping},
@@ -316,6 +393,8 @@
 void node::finish_stop(const std::function<void()>& on_stopped)
 {
     this->watcher.stop();
+    this->nodes.stop();
+    this->others.close();
     this->operator_server.stop_accepting();
     this->operator_server.close_all();
     this->caller_server.close_all();
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -7,6 +7,8 @@
 #include "daemon/metrics.h"
 #include "daemon/node_settings.h"
 #include "daemon/operator_api.h"
+#include "daemon/peers.h"
+#include "daemon/registry.h"
 #include "daemon/request_api.h"
 #include "daemon/settings_watcher.h"
 #include "daemon/worker_client.h"
@@ -34,6 +36,8 @@
     void execute(const requests::start_task& wanted);
     void execute(const requests::query_task& wanted);
     void execute(const requests::stop_task& wanted);
+    void execute(const requests::claim_task& wanted);
+    void execute(const requests::adopt_task& wanted);
     void execute(const requests::give_answer& wanted);
     void execute(const requests::note& wanted);
     void after(common::milliseconds delay, std::function<void()> action);
@@ -48,11 +52,13 @@
     [[nodiscard]] nlohmann::json status() const;
     [[nodiscard]] operator_api_hooks operator_hooks();
     [[nodiscard]] request_api_hooks request_hooks();
+    [[nodiscard]] peers_hooks peer_hooks();
     [[nodiscard]] metrics_sources sources();
 
     boost::asio::io_context& context;
     const common::clock& clock;
     node_settings settings;
+    membership::member self;
     common::event_log log;
     common::random_source random;
     common::invariant_monitor invariants;
@@ -65,6 +71,8 @@
     worker_client workers;
     net::http_client platform;
     request_api callers;
+    peers others;
+    registry nodes;
     operator_api operators;
     net::http_server caller_server;
     net::http_server operator_server;
--- a/src/daemon/node_settings.cpp
+++ b/src/daemon/node_settings.cpp
@@ -1,8 +1,5 @@
 #include "daemon/node_settings.h"
 
-#include <fstream>
-#include <sstream>
-
 #include "settings/document_tree.h"
 
 namespace chervilslip::daemon {
@@ -15,8 +12,9 @@
 constexpr std::int64_t max_milliseconds = 3'600'000;
 constexpr std::int64_t max_nodes = 1024;
 constexpr std::int64_t max_bytes = std::int64_t{64} * 1024 * 1024;
-constexpr std::size_t least_token_bytes = 16;
-constexpr std::size_t most_token_bytes = 256;
+constexpr std::size_t least_secret_bytes = 16;
+constexpr std::size_t most_secret_bytes = 256;
+constexpr std::size_t most_peer_bytes = 64;
 
 net::endpoint read_endpoint(object_reader& reader, const std::string& field)
 {
@@ -82,14 +80,28 @@
                                     : routing::choice_kind::corrected_two_choice;
 }
 
-std::string read_token(object_reader& reader)
+std::string read_secret(object_reader& reader, const std::string& field)
 {
-    std::string token = reader.text("operator_token", most_token_bytes);
-    if (token.size() < least_token_bytes) {
-        reader.report("operator_token", std::to_string(token.size()) + " bytes",
-                      "at least " + std::to_string(least_token_bytes) + " bytes");
+    std::string secret = reader.text(field, most_secret_bytes);
+    if (secret.size() < least_secret_bytes) {
+        reader.report(field, std::to_string(secret.size()) + " bytes",
+                      "at least " + std::to_string(least_secret_bytes) + " bytes");
     }
-    return token;
+    return secret;
+}
+
+std::vector<net::endpoint> read_peers(object_reader& reader)
+{
+    std::vector<net::endpoint> peers;
+    for (const std::string& text : reader.texts_or_none("peers", most_peer_bytes)) {
+        const auto parsed = net::parse_endpoint(text);
+        if (parsed) {
+            peers.push_back(*parsed);
+        } else {
+            reader.report("peers", "\"" + text + "\"", "IP:port");
+        }
+    }
+    return peers;
 }
 
 } // namespace
@@ -97,16 +109,10 @@
 checked_node_settings load_node_settings(const std::string& file)
 {
     checked_node_settings checked;
-    std::ifstream stream(file);
-    if (!stream) {
-        checked.problems.push_back({file, "/", "no readable file", "a settings file"});
-        return checked;
-    }
-    std::stringstream text;
-    text << stream.rdbuf();
-    const auto parsed = settings::parse_commented_json(text.str(), file);
+    const auto parsed = settings::load_commented_json(file);
     if (!parsed) {
-        checked.problems.push_back({file, "/", parsed.error().detail, "JSON with comments"});
+        checked.problems.push_back(
+            {file, "/", parsed.error().detail, "a file of JSON with comments"});
         return checked;
     }
     object_reader reader(parsed.value(), {file, ""}, checked.problems);
@@ -116,9 +122,12 @@
     read_position(reader, checked.problems, typed.position);
     typed.listen = read_endpoint(reader, "listen");
     typed.operator_listen = read_endpoint(reader, "operator_listen");
+    typed.peer_listen = read_endpoint(reader, "peer_listen");
+    typed.peers = read_peers(reader);
+    typed.peer_secret = read_secret(reader, "peer_secret");
     typed.store = read_endpoint(reader, "store");
     typed.vm_list = read_endpoint(reader, "vm_list");
-    typed.operator_token = read_token(reader);
+    typed.operator_token = read_secret(reader, "operator_token");
     read_http(reader, checked.problems, typed.http);
     typed.choice = read_choice(reader);
     typed.store_time_limit = read_time(reader, "store_time_limit_ms", typed.store_time_limit);
--- a/src/daemon/node_settings.h
+++ b/src/daemon/node_settings.h
@@ -13,8 +13,11 @@
     std::string node;
     std::string zone;
     teams::node_position position;
-    net::endpoint listen;          ///< for callers
-    net::endpoint operator_listen; ///< for operators and metrics
+    net::endpoint listen;             ///< for callers
+    net::endpoint operator_listen;    ///< for operators and metrics
+    net::endpoint peer_listen;        ///< for the other entry nodes
+    std::vector<net::endpoint> peers; ///< known from the start, besides those the store names
+    std::string peer_secret;          ///< shared by all entry nodes
     net::endpoint store;
     net::endpoint vm_list;
     std::string operator_token;
--- /dev/null
+++ b/src/daemon/peer_relay.cpp
@@ -0,0 +1,120 @@
+#include "daemon/peer_relay.h"
+
+namespace chervilslip::daemon {
+
+namespace {
+
+const std::string relayed_field = "X-Chervilslip-Relayed-By";
+
+/// Sends what a handler answers back to the peer.
+class relayed_exchange final : public net::http_exchange {
+public:
+    relayed_exchange(std::uint64_t call, membership::answer_sender sender)
+        : number(call), send(std::move(sender))
+    {
+    }
+
+    void respond(net::http_response response) override
+    {
+        this->send(
+            membership::relay_answer{this->number, response.status, std::move(response.body)});
+    }
+
+    void begin_stream(const std::string& /*content_type*/) override
+    {
+        this->respond(net::error_response(501, "relay call", "streams are not relayed"));
+    }
+
+    bool write_chunk(const std::string& /*text*/) override
+    {
+        return false;
+    }
+
+    void drop() override
+    {
+    }
+
+private:
+    std::uint64_t number;
+    membership::answer_sender send;
+};
+
+} // namespace
+
+bool was_relayed(const net::http_request& request)
+{
+    return !request.field(relayed_field).empty();
+}
+
+peer_relay::peer_relay(membership::peer_network& peers, local_handler local)
+    : network(peers), handler(std::move(local))
+{
+}
+
+bool peer_relay::pass_on(const std::string& peer, const net::http_request& request,
+                         std::shared_ptr<net::http_exchange> exchange)
+{
+    const std::uint64_t number = ++this->last_number;
+    const membership::relay_call call{number,
+                                      request.method,
+                                      request.target,
+                                      request.field("Authorization"),
+                                      request.field("Idempotency-Key"),
+                                      request.body};
+    if (!this->network.send(peer, call)) {
+        return false;
+    }
+    this->calls[number] = {peer, request.method == "POST", std::move(exchange)};
+    return true;
+}
+
+void peer_relay::serve(const membership::member& peer, const membership::relay_call& call,
+                       const membership::answer_sender& answer)
+{
+    net::http_request request;
+    request.method = call.method;
+    request.target = call.target;
+    request.body = call.body;
+    request.peer = peer.name;
+    request.fields = {{relayed_field, peer.name}};
+    if (!call.authorization.empty()) {
+        request.fields.push_back({"Authorization", call.authorization});
+    }
+    if (!call.idempotency_key.empty()) {
+        request.fields.push_back({"Idempotency-Key", call.idempotency_key});
+    }
+    this->handler(request, std::make_shared<relayed_exchange>(call.number, answer));
+}
+
+void peer_relay::take(const membership::relay_answer& answer)
+{
+    const auto found = this->calls.find(answer.number);
+    if (found == this->calls.end()) {
+        return;
+    }
+    net::http_response response;
+    response.status = answer.status;
+    response.body = answer.body;
+    found->second.exchange->respond(std::move(response));
+    this->calls.erase(found);
+}
+
+void peer_relay::lost(const std::string& peer)
+{
+    std::erase_if(this->calls, [&peer](const auto& item) {
+        const open_call& each = item.second;
+        if (each.peer != peer) {
+            return false;
+        }
+        const std::string cause = "node \"" + peer + "\" was lost before its answer";
+        if (each.may_run) {
+            each.exchange->respond(net::json_response(
+                504, {{"fate", "unknown"}, {"error", {{"step", "relay call"}, {"cause", cause}}}}));
+        } else {
+            each.exchange->respond(net::error_response(503, "relay call", cause));
+        }
+        return true;
+    });
+}
+
+} // namespace chervilslip::daemon
--- a/src/daemon/request_api.cpp
+++ b/src/daemon/request_api.cpp
@@ -1,6 +1,7 @@
 #include "daemon/request_api.h"
 
 #include "common/crypto.h"
+#include "daemon/peer_relay.h"
 #include "settings/document_tree.h"
 #include "settings/object_reader.h"
 
@@ -211,10 +212,92 @@
     checked.wanted.id = id;
     checked.wanted.queue = queue;
     checked.wanted.presented_key = bearer_of(request);
+    if (this->submit_elsewhere(request, checked.wanted, exchange)) {
+        return;
+    }
     this->wait(id, checked.wait, exchange);
     this->hooks.apply(checked.wanted);
 }
 
+bool request_api::submit_elsewhere(const net::http_request& request, requests::submitted& wanted,
+                                   const std::shared_ptr<net::http_exchange>& exchange)
+{
+    const auto settings = this->hooks.in_force();
+    if (wanted.idempotency_key.empty() || !settings) {
+        return false;
+    }
+    const auto team = requests::team_of(*settings, wanted);
+    if (!team) {
+        return false; // This node can refuse it as well as any other.
+    }
+    const std::string task = requests::keyed_task(*team, wanted.idempotency_key);
+    wanted.must_claim = this->hooks.must_claim(task);
+    const auto home = this->hooks.home_of(task);
+    if (was_relayed(request) || home == this->node) {
+        return false;
+    }
+    if (home && this->hooks.pass_on(*home, request, exchange)) {
+        return true;
+    }
+    requests::answer whole;
+    whole.result = fate::refused;
+    whole.why_refused = refusal::home_unreachable;
+    whole.cause = "the availability zone that decides about this idempotency key is out of reach";
+    exchange->respond(response_of(wanted.id, whole));
+    return true;
+}
+
+bool request_api::ask_elsewhere(const net::http_request& request, const std::string& id,
+                                const std::shared_ptr<net::http_exchange>& exchange)
+{
+    const std::string owner = id.substr(0, id.rfind('.'));
+    if (owner == this->node || was_relayed(request)) {
+        return false;
+    }
+    return this->hooks.pass_on(owner, request, exchange);
+}
+
+bool request_api::may_see(const net::http_request& request, const std::string& team,
+                          const std::string& queue) const
+{
+    const auto settings = this->hooks.in_force();
+    if (!settings) {
+        return false;
+    }
+    const auto found = settings->queues.find(queue);
+    if (found != settings->queues.end() && found->second.open && found->second.open_team == team) {
+        return true; // Without a key the id itself, which is hard to guess, is the right to ask.
+    }
+    const auto who = teams::authenticate(*settings, bearer_of(request));
+    return who && who.value().team == team;
+}
+
+void request_api::show_from_workers(const net::http_request& request, const std::string& id,
+                                    const std::shared_ptr<net::http_exchange>& exchange)
+{
+    this->hooks.look_up(id, [this, request, id, exchange](const std::optional<known_task>& found,
+                                                          std::size_t silent_workers) {
+        if (!found || !this->may_see(request, found->reply.team, found->reply.queue)) {
+            const std::string cause = "no request \"" + id + "\" of this key's team; " +
+                                      std::to_string(silent_workers) +
+                                      " workers could not be asked";
+            exchange->respond(net::error_response(404, "find request", cause));
+            return;
+        }
+        if (found->reply.kind == requests::claim_kind::running) {
+            exchange->respond(pending_response(id, nullptr));
+            return;
+        }
+        requests::answer whole;
+        whole.result = found->reply.succeeded ? fate::done : fate::failed;
+        whole.cause = found->reply.succeeded ? "" : "the task failed";
+        whole.output = found->reply.output;
+        whole.worker = found->worker;
+        whole.attempts = 1;
+        exchange->respond(response_of(id, whole));
+    });
+}
+
 const requests::record* request_api::find_allowed(const net::http_request& request,
                                                   const std::string& id) const
 {
@@ -223,11 +306,9 @@
     if (each == nullptr || !settings) {
         return nullptr;
     }
-    if (each->who.key_id.empty()) {
-        return each; // Without a key the id itself, which is hard to guess, is the right to ask.
-    }
-    const auto who = teams::authenticate(*settings, bearer_of(request));
-    return who && who.value().team == each->who.team ? each : nullptr;
+    const bool allowed =
+        each->who.key_id.empty() || this->may_see(request, each->who.team, each->request.queue);
+    return allowed ? each : nullptr;
 }
 
 void request_api::show(const net::http_request& request, const std::string& id,
@@ -235,8 +316,9 @@
 {
     const requests::record* each = this->find_allowed(request, id);
     if (each == nullptr) {
-        exchange->respond(net::error_response(404, "find request",
-                                              "no request \"" + id + "\" of this key's team"));
+        if (!this->ask_elsewhere(request, id, exchange)) {
+            this->show_from_workers(request, id, exchange);
+        }
         return;
     }
     if (each->result) {
@@ -251,6 +333,9 @@
 {
     const requests::record* each = this->find_allowed(request, id);
     if (each == nullptr) {
+        if (this->ask_elsewhere(request, id, exchange)) {
+            return;
+        }
         exchange->respond(net::error_response(404, "find request",
                                               "no request \"" + id + "\" of this key's team"));
         return;
--- a/src/daemon/request_api.h
+++ b/src/daemon/request_api.h
@@ -2,9 +2,9 @@
 
 #include <map>
 
+#include "daemon/task_lookup.h"
 #include "net/http_server.h"
 #include "requests/engine.h"
-#include "store/etcd_client.h"
 
 namespace chervilslip::daemon {
 
@@ -15,6 +15,16 @@
     std::function<std::shared_ptr<const settings::snapshot>()> in_force;
     std::function<bool()> is_ready;
     std::function<void(common::milliseconds, std::function<void()>)> after;
+    /// Passes a request to another node; false when there is no connection to it.
+    std::function<bool(const std::string& node, const net::http_request& request,
+                       std::shared_ptr<net::http_exchange> exchange)>
+        pass_on;
+    /// Names the node that decides about an idempotency key; nothing when it cannot be reached.
+    std::function<std::optional<std::string>(const std::string& task)> home_of;
+    /// Tells whether another node may have started a task under this idempotency key.
+    std::function<bool(const std::string& task)> must_claim;
+    /// Asks all upstreams what they know of a task.
+    std::function<void(const std::string& task, lookup_handler handler)> look_up;
 };
 
 /// The callers' HTTP API, as docs/API.md describes. Not thread safe: used on the io_context's
@@ -48,6 +58,14 @@
     void cancel(const net::http_request& request, const std::string& id,
                 const std::shared_ptr<net::http_exchange>& exchange);
     void cancel_many(const net::http_request& request, net::http_exchange& exchange);
+    bool submit_elsewhere(const net::http_request& request, requests::submitted& wanted,
+                          const std::shared_ptr<net::http_exchange>& exchange);
+    bool ask_elsewhere(const net::http_request& request, const std::string& id,
+                       const std::shared_ptr<net::http_exchange>& exchange);
+    void show_from_workers(const net::http_request& request, const std::string& id,
+                           const std::shared_ptr<net::http_exchange>& exchange);
+    [[nodiscard]] bool may_see(const net::http_request& request, const std::string& team,
+                               const std::string& queue) const;
     [[nodiscard]] const requests::record* find_allowed(const net::http_request& request,
                                                        const std::string& id) const;
     void wait(const std::string& id, common::milliseconds time,
--- a/src/daemon/settings_watcher.cpp
+++ b/src/daemon/settings_watcher.cpp
@@ -146,6 +146,24 @@
     this->handler(this->current);
 }
 
+void settings_watcher::take_from_peer(const std::string& manifest,
+                                      const std::map<std::string, std::string>& documents)
+{
+    for (const auto& [hash, text] : documents) {
+        this->repository.offer(hash, text);
+    }
+    this->repository.load_value(
+        store::versioned_value{manifest, store::no_revision},
+        [this](common::result<std::shared_ptr<const settings::loaded_tree>> loaded) {
+            const bool newer =
+                !this->stopped && loaded &&
+                (!this->current || loaded.value()->source.number > this->current->source.number);
+            if (newer) {
+                this->adopt(loaded.value());
+            }
+        });
+}
+
 void settings_watcher::ensure_watch()
 {
     if (this->watch) {
--- a/src/daemon/worker_client.cpp
+++ b/src/daemon/worker_client.cpp
@@ -47,9 +47,10 @@
 
 worker_client::worker_client(boost::asio::io_context& context, std::string node_name,
                              std::int64_t node_incarnation, reply_handler reply,
-                             usage_handler usage)
+                             claim_handler claim, usage_handler usage)
     : node(std::move(node_name)), incarnation(node_incarnation), on_reply(std::move(reply)),
-      on_usage(std::move(usage)), client(context, idle_connections_per_worker, max_body_bytes)
+      on_claim(std::move(claim)), on_usage(std::move(usage)),
+      client(context, idle_connections_per_worker, max_body_bytes)
 {
 }
 
@@ -115,6 +116,66 @@
                       [](const common::result<net::http_response>&) {});
 }
 
+void worker_client::ask(const std::string& target, const std::string& vm,
+                        const std::string& address,
+                        std::function<void(common::result<workers::claim_reply>)> handler)
+{
+    const auto peer = net::parse_endpoint(address);
+    if (!peer) {
+        handler(common::make_error(common::errc::connect_failed, "ask worker", vm, address));
+        return;
+    }
+    net::http_request request;
+    request.method = "POST";
+    request.target = target;
+    this->client.call(
+        *peer, std::move(request), answer_time,
+        [vm, handler = std::move(handler)](common::result<net::http_response> answer) {
+            if (!answer) {
+                handler(answer.error());
+                return;
+            }
+            handler(workers::parse_claim_reply(answer.value().body, vm));
+        });
+}
+
+void worker_client::claim(const requests::claim_task& wanted, common::milliseconds memory)
+{
+    const std::string target = "/v1/tasks/" + wanted.task + "/claim?node=" + this->node +
+                               "&incarnation=" + std::to_string(this->incarnation);
+    this->ask(target, wanted.worker, wanted.address,
+              [this, wanted, memory](const common::result<workers::claim_reply>& reply) {
+                  requests::claim_replied known;
+                  known.attempt.task = wanted.task;
+                  known.attempt.worker = wanted.worker;
+                  if (reply) {
+                      known = workers::claim_for_node(reply.value(), wanted.task, wanted.worker,
+                                                      memory);
+                  }
+                  this->on_claim(known);
+              });
+}
+
+void worker_client::adopt(const requests::adopt_task& wanted, common::milliseconds task_lease)
+{
+    const auto peer = net::parse_endpoint(wanted.address);
+    if (!peer) {
+        return;
+    }
+    net::http_request request;
+    request.method = "POST";
+    request.target = "/v1/tasks/" + wanted.task + "/adopt?node=" + this->node +
+                     "&lease_ms=" + std::to_string(task_lease.count());
+    this->client.call(*peer, std::move(request), answer_time,
+                      [](const common::result<net::http_response>&) {});
+}
+
+void worker_client::show(const std::string& task, const std::string& vm, const std::string& address,
+                         std::function<void(common::result<workers::claim_reply>)> handler)
+{
+    this->ask("/v1/tasks/" + task + "/show", vm, address, std::move(handler));
+}
+
 void worker_client::poll_usage(const std::string& vm, const std::string& address)
 {
     const auto peer = net::parse_endpoint(address);
--- a/src/daemon/worker_client.h
+++ b/src/daemon/worker_client.h
@@ -6,6 +6,7 @@
 namespace chervilslip::daemon {
 
 using reply_handler = std::function<void(const requests::worker_replied& reply)>;
+using claim_handler = std::function<void(const requests::claim_replied& reply)>;
 using usage_handler = std::function<void(const requests::usage_received& usage)>;
 
 /// Calls workers over their published interface. Not thread safe: used on the io_context's thread.
@@ -13,7 +14,7 @@
 public:
     /// Precondition: `incarnation` is higher than that of every earlier node of this name.
     worker_client(boost::asio::io_context& context, std::string node, std::int64_t incarnation,
-                  reply_handler on_reply, usage_handler on_usage);
+                  reply_handler on_reply, claim_handler on_claim, usage_handler on_usage);
 
     /// Starts a task; the reply comes when the task ends, or when it still runs after a while.
     void start(const requests::start_task& wanted, bool repeatable,
@@ -25,16 +26,29 @@
     /// Stops an attempt; its end comes as the reply to the pending start or query.
     void stop(const requests::stop_task& wanted);
 
+    /// Claims a task; `on_claim` gets what the worker knows of it.
+    void claim(const requests::claim_task& wanted, common::milliseconds memory);
+
+    /// Takes over a running task.
+    void adopt(const requests::adopt_task& wanted, common::milliseconds task_lease);
+
+    /// Asks what a worker knows of a task.
+    void show(const std::string& task, const std::string& vm, const std::string& address,
+              std::function<void(common::result<workers::claim_reply>)> handler);
+
     /// Asks a worker for its use.
     void poll_usage(const std::string& vm, const std::string& address);
 
 private:
+    void ask(const std::string& target, const std::string& vm, const std::string& address,
+             std::function<void(common::result<workers::claim_reply>)> handler);
     void call(const requests::attempt_id& attempt, const std::string& address,
               net::http_request request, bool is_query);
 
     std::string node;
     std::int64_t incarnation;
     reply_handler on_reply;
+    claim_handler on_claim;
     usage_handler on_usage;
     net::http_client client;
 };
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -1,8 +1,5 @@
 #include "fakes/fake_platform.h"
 
-#include <fstream>
-#include <sstream>
-
 #include <boost/asio/steady_timer.hpp>
 #include <boost/outcome/try.hpp>
 
@@ -34,10 +31,7 @@
 
 common::result<platform_settings> load_platform(const std::string& file)
 {
-    std::ifstream stream(file);
-    std::stringstream text;
-    text << stream.rdbuf();
-    const auto parsed = settings::parse_commented_json(text.str(), file);
+    const auto parsed = settings::load_commented_json(file);
     if (!parsed) {
         return parsed.error();
     }
--- a/src/fakes/fake_worker.cpp
+++ b/src/fakes/fake_worker.cpp
@@ -28,9 +28,10 @@
 
 json to_json(const start_entry& entry)
 {
-    return {{"at_ms", entry.at_ms}, {"vm", entry.vm},       {"epoch", entry.epoch},
-            {"task", entry.task},   {"node", entry.node},   {"request", entry.request},
-            {"team", entry.team},   {"queue", entry.queue}, {"body", entry.body}, {"attempt", entry.attempt}};
+    return {{"at_ms", entry.at_ms},    {"vm", entry.vm},       {"epoch", entry.epoch},
+            {"task", entry.task},      {"node", entry.node},   {"request", entry.request},
+            {"team", entry.team},      {"queue", entry.queue}, {"body", entry.body},
+            {"attempt", entry.attempt}};
 }
 
 } // namespace
@@ -142,6 +143,17 @@
         this->answer_or_wait(this->model.query(attempt, lease, now),
                              {attempt, lease, now, exchange},
                              milliseconds_parameter(request, "hold_ms"));
+    } else if (verb == "claim") {
+        const auto incarnation = std::atoll(request.query("incarnation").c_str());
+        const auto known = this->model.claim(segments[2], request.query("node"), incarnation, now);
+        this->gate.send(exchange, net::json_response(200, workers::to_json(known)));
+    } else if (verb == "adopt") {
+        const bool known = this->model.adopt(segments[2], request.query("node"),
+                                             milliseconds_parameter(request, "lease_ms"), now);
+        exchange->respond(net::json_response(known ? 200 : 404, {{"running", known}}));
+    } else if (verb == "show") {
+        this->gate.send(exchange, net::json_response(
+                                      200, workers::to_json(this->model.show(segments[2], now))));
     } else if (verb == "stop") {
         this->gate.send(exchange, this->response_of(attempt, this->model.stop(attempt, now)));
     } else if (verb == "checkpoint") {
@@ -177,7 +189,7 @@
     } else if (path == "/v1/undrain") {
         this->model.undrain();
     } else if (path == "/v1/reboot") {
-        this->model.reboot();
+        this->model.reboot(this->clock.steady_now());
     } else if (path == "/fake") {
         const json wanted = json::parse(request.body, nullptr, false);
         if (!wanted.is_object()) {
--- a/src/fakes/worker_model.cpp
+++ b/src/fakes/worker_model.cpp
@@ -45,6 +45,13 @@
     if (fenced || this->forbidden.contains({order.attempt.task, order.attempt.number})) {
         return {reply_kind::not_started, false, {}, {}};
     }
+    const auto claim = this->claims.find(order.attempt.task);
+    const bool claimed_by_other =
+        claim != this->claims.end() && claim->second != std::pair{order.incarnation, order.node};
+    if (claimed_by_other) {
+        this->forbidden.insert({order.attempt.task, order.attempt.number});
+        return {reply_kind::claimed, false, {}, {}};
+    }
     const auto known = this->tasks.find(order.attempt.task);
     if (known != this->tasks.end()) {
         const bool may_repeat = order.repeatable && known->second.state != task_state::running &&
@@ -76,7 +83,8 @@
     each.ends = now + (this->switches.fails_everything ? common::milliseconds{1} : run_time);
     each.lease_until = now + order.lease;
     this->starts.push_back({milliseconds_of(now), this->name, this->epoch_text, order.attempt.task,
-                            order.request, order.node, order.team, order.queue, order.body, order.attempt.number});
+                            order.request, order.node, order.team, order.queue, order.body,
+                            order.attempt.number});
     return this->reply_of(each);
 }
 
@@ -110,6 +118,60 @@
     return this->reply_of(each);
 }
 
+workers::claim_reply worker_model::claim(const std::string& task_id, const std::string& node,
+                                         std::int64_t incarnation, common::steady_time now)
+{
+    auto& holder = this->claims[task_id];
+    holder = std::max(holder, std::pair{incarnation, node});
+    workers::claim_reply reply = this->show(task_id, now);
+    if (holder != std::pair{incarnation, node} && reply.kind == requests::claim_kind::free) {
+        reply.kind = requests::claim_kind::inconclusive;
+    }
+    return reply;
+}
+
+bool worker_model::adopt(const std::string& task_id, const std::string& node,
+                         common::milliseconds lease, common::steady_time now)
+{
+    this->advance(now);
+    const auto known = this->tasks.find(task_id);
+    if (known == this->tasks.end() || known->second.state != task_state::running) {
+        return false;
+    }
+    known->second.order.node = node;
+    known->second.lease_until = now + lease;
+    return true;
+}
+
+workers::claim_reply worker_model::show(const std::string& task_id, common::steady_time now)
+{
+    this->advance(now);
+    workers::claim_reply reply;
+    reply.epoch = this->epoch_text;
+    reply.kind = requests::claim_kind::free;
+    if (this->forgot_at) {
+        reply.forgot_before =
+            std::chrono::duration_cast<common::milliseconds>(now - *this->forgot_at);
+    }
+    auto known = this->tasks.find(task_id);
+    if (known == this->tasks.end()) {
+        known = std::find_if(this->tasks.begin(), this->tasks.end(), [&task_id](const auto& item) {
+            return item.second.order.request == task_id;
+        });
+    }
+    if (known != this->tasks.end()) {
+        const task& each = known->second;
+        reply.kind = each.state == task_state::running ? requests::claim_kind::running
+                                                       : requests::claim_kind::finished;
+        reply.attempt = each.order.attempt.number;
+        reply.succeeded = each.state == task_state::succeeded;
+        reply.output = each.output;
+        reply.team = each.order.team;
+        reply.queue = each.order.queue;
+    }
+    return reply;
+}
+
 bool worker_model::checkpoint(const std::string& task_id, common::steady_time now)
 {
     const auto known = this->tasks.find(task_id);
@@ -174,8 +236,10 @@
     this->draining = false;
 }
 
-void worker_model::reboot()
+void worker_model::reboot(common::steady_time now)
 {
+    this->forgot_at = now;
+    this->claims.clear();
     ++this->epoch_number;
     this->epoch_text = "e" + std::to_string(this->epoch_number);
     this->draining = false;
@@ -199,8 +263,11 @@
         this->reported = {this->epoch_text, this->draining, {}};
         for (const auto& [id, each] : this->tasks) {
             if (each.state == task_state::running) {
+                const auto left =
+                    std::chrono::duration_cast<common::milliseconds>(each.lease_until - now);
                 this->reported.tasks.push_back({id, each.order.request, each.order.attempt.number,
-                                                each.order.node, each.order.team, each.order.need});
+                                                each.order.node, each.order.team, each.order.need,
+                                                left});
             }
         }
         this->reported_at = now;
--- a/src/fakes/worker_model.h
+++ b/src/fakes/worker_model.h
@@ -65,6 +65,19 @@
     /// Stops an attempt; one that is not known will never be started.
     task_reply stop(const requests::attempt_id& attempt, common::steady_time now);
 
+    /// Tells what is known of a task and, for a node, keeps other nodes from starting it. Of two
+    /// nodes that claim the same task, the later incarnation gets it.
+    workers::claim_reply claim(const std::string& task, const std::string& node,
+                               std::int64_t incarnation, common::steady_time now);
+
+    /// Hands a running task over to a node, which renews its lease from now on. Returns false when
+    /// it does not run.
+    bool adopt(const std::string& task, const std::string& node, common::milliseconds lease,
+               common::steady_time now);
+
+    /// Tells what is known of a task, named by itself or by its request.
+    workers::claim_reply show(const std::string& task, common::steady_time now);
+
     /// Saves a running task's progress. Returns false when it does not run.
     bool checkpoint(const std::string& task, common::steady_time now);
 
@@ -79,7 +92,7 @@
     void undrain();
 
     /// Starts anew: running tasks are lost and everything is forgotten but the log.
-    void reboot();
+    void reboot(common::steady_time now);
 
     /// Returns the last report, which lags behind. A node's first call under a new incarnation gets
     /// a report of this moment, and fences off the starts of its earlier incarnations.
@@ -122,7 +135,9 @@
     std::string epoch_text;
     bool draining = false;
     std::map<std::string, task> tasks;
-    std::set<std::pair<std::string, int>> forbidden; ///< task and attempt
+    std::set<std::pair<std::string, int>> forbidden;                    ///< task and attempt
+    std::map<std::string, std::pair<std::int64_t, std::string>> claims; ///< incarnation and node
+    std::optional<common::steady_time> forgot_at;
     std::vector<start_entry> starts;
     std::map<std::string, std::int64_t> incarnations; ///< by node, the newest seen
     usage_snapshot reported;
--- a/src/fleet/vm_list.cpp
+++ b/src/fleet/vm_list.cpp
@@ -1,6 +1,6 @@
 #include "fleet/vm_list.h"
 
-#include <nlohmann/json.hpp>
+#include "common/json_reader.h"
 
 namespace chervilslip::fleet {
 
@@ -25,16 +25,14 @@
 common::result<std::vector<routing::upstream_info>> parse_vm_list(const std::string& text,
                                                                   const std::string& peer)
 {
-    try {
-        std::vector<routing::upstream_info> vms;
-        const auto source = nlohmann::json::parse(text);
-        for (const auto& each : source.at("vms")) {
-            vms.push_back(read_vm(each));
-        }
-        return vms;
-    } catch (const nlohmann::json::exception& failure) {
-        return common::make_error(common::errc::bad_message, "read VM list", peer, failure.what());
-    }
+    return common::read_json<std::vector<routing::upstream_info>>(
+        "read VM list", text, peer, [](const nlohmann::json& source) {
+            std::vector<routing::upstream_info> vms;
+            for (const auto& each : source.at("vms")) {
+                vms.push_back(read_vm(each));
+            }
+            return vms;
+        });
 }
 
 } // namespace chervilslip::fleet
--- a/src/load/load_plan.cpp
+++ b/src/load/load_plan.cpp
@@ -1,8 +1,5 @@
 #include "load/load_plan.h"
 
-#include <fstream>
-#include <sstream>
-
 #include "settings/document_tree.h"
 
 namespace chervilslip::load {
@@ -40,10 +37,7 @@
 
 common::result<load_plan> load_plan_file(const std::string& file)
 {
-    std::ifstream stream(file);
-    std::stringstream text;
-    text << stream.rdbuf();
-    const auto parsed = settings::parse_commented_json(text.str(), file);
+    const auto parsed = settings::load_commented_json(file);
     if (!parsed) {
         return parsed.error();
     }
--- a/src/load/load_plan.h
+++ b/src/load/load_plan.h
@@ -29,12 +29,12 @@
 
 /// One experiment.
 struct load_plan {
-    std::vector<net::endpoint> nodes;   ///< the balancer's targets
-    net::endpoint vm_list;              ///< where the workers and their logs are found
+    std::vector<net::endpoint> nodes; ///< the balancer's targets
+    net::endpoint vm_list;            ///< where the workers and their logs are found
     arrival_profile profile = arrival_profile::steady;
     std::chrono::seconds length{10};
-    std::chrono::seconds turn{4};       ///< how long each queue's burst lasts
-    double direct_per_second = 0.0;     ///< calls that go to workers without the system
+    std::chrono::seconds turn{4};   ///< how long each queue's burst lasts
+    double direct_per_second = 0.0; ///< calls that go to workers without the system
     std::uint64_t seed = 1;
     std::vector<load_stream> streams;
 
--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -94,8 +94,7 @@
            points.str() + "'/>\n";
 }
 
-std::string plot(const std::string& title,
-                 const std::map<std::string, std::vector<double>>& lines)
+std::string plot(const std::string& title, const std::map<std::string, std::vector<double>>& lines)
 {
     static const std::vector<std::string> colours{"#1f77b4", "#ff7f0e", "#2ca02c", "#d62728",
                                                   "#9467bd", "#8c564b", "#e377c2", "#7f7f7f"};
--- a/src/load/load_report.h
+++ b/src/load/load_report.h
@@ -6,7 +6,7 @@
 
 /// How one request ended for its caller.
 enum class request_end {
-    none,    ///< no answer came at all
+    none, ///< no answer came at all
     done,
     failed,
     refused, ///< with the word that nothing was run
@@ -20,7 +20,7 @@
 /// What is known of one request.
 struct request_fate {
     std::size_t stream = 0;
-    bool direct = false; ///< sent to a worker without the system
+    bool direct = false;          ///< sent to a worker without the system
     common::milliseconds sent{0}; ///< since the run began
     std::chrono::microseconds latency{0};
     request_end end = request_end::none;
@@ -46,8 +46,8 @@
     std::uint64_t sent = 0;
     std::map<request_end, std::uint64_t> ends;
     std::map<std::string, std::uint64_t> refusals;
-    std::uint64_t lost = 0;           ///< without any answer
-    std::uint64_t doubled = 0;        ///< unrepeatable, and started more than once
+    std::uint64_t lost = 0;    ///< without any answer
+    std::uint64_t doubled = 0; ///< unrepeatable, and started more than once
     std::uint64_t crossed = 0;
     std::uint64_t false_refusals = 0; ///< refused as not run, and started
     std::uint64_t in_time = 0;        ///< done before the deadline
--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -69,16 +69,14 @@
 
 common::milliseconds load_runner::since_start() const
 {
-    return std::chrono::duration_cast<common::milliseconds>(this->clock.steady_now() -
-                                                            this->begin);
+    return std::chrono::duration_cast<common::milliseconds>(this->clock.steady_now() - this->begin);
 }
 
 void load_runner::after(common::milliseconds delay, std::function<void()> action)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(this->context, delay);
-    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code&) {
-        action();
-    });
+    timer->async_wait(
+        [timer, action = std::move(action)](const boost::system::error_code&) { action(); });
 }
 
 common::result<std::vector<request_fate>> load_runner::run()
@@ -198,8 +196,7 @@
         });
 }
 
-void load_runner::take_answer(std::size_t number, std::size_t tries,
-                              common::steady_time begin_time,
+void load_runner::take_answer(std::size_t number, std::size_t tries, common::steady_time begin_time,
                               const common::result<net::http_response>& answer)
 {
     request_fate& fate = this->fates[number];
@@ -209,8 +206,8 @@
                     [this, number, tries] { this->send_to(number, tries + 1); });
         return;
     }
-    fate.latency = std::chrono::duration_cast<std::chrono::microseconds>(
-        this->clock.steady_now() - begin_time);
+    fate.latency = std::chrono::duration_cast<std::chrono::microseconds>(this->clock.steady_now() -
+                                                                         begin_time);
     if (!answer) {
         fate.end = request_end::cut;
         return;
--- a/src/requests/engine.cpp
+++ b/src/requests/engine.cpp
@@ -2,7 +2,9 @@
 
 #include "requests/engine_admission.h"
 #include "requests/engine_attempts.h"
+#include "requests/engine_claims.h"
 #include "requests/engine_dispatch.h"
+#include "requests/engine_recovery.h"
 
 namespace chervilslip::requests {
 
--- a/src/requests/engine.h
+++ b/src/requests/engine.h
@@ -29,6 +29,7 @@
 
 /// How one node's engine behaves.
 struct engine_options {
+    std::string node;
     std::string zone;
     routing::choice_kind choice = routing::choice_kind::corrected_two_choice;
     routing::outlier_limits outliers;
@@ -42,6 +43,8 @@
     common::milliseconds retention{600000}; ///< how long an answer can be fetched
     std::size_t most_records = 50000;
     int most_attempts = 3;
+    common::milliseconds claim_time{2000};
+    common::milliseconds claim_memory{900000}; ///< how long a key stands for one run
     planted_fault fault = planted_fault::none;
 };
 
@@ -54,6 +57,9 @@
     std::uint64_t resolved_not_started = 0;
     std::uint64_t dropped_answers = 0;
     std::uint64_t overflowed = 0;
+    std::uint64_t claims = 0;
+    std::uint64_t adopted = 0;
+    std::uint64_t taken_over = 0;
     std::map<fate, std::uint64_t> ended;
     std::map<refusal, std::uint64_t> refused;
 
@@ -95,6 +101,9 @@
     /// Returns each team's load.
     [[nodiscard]] std::map<std::string, team_load> loads() const;
 
+    /// Returns what each team has running under this node's part of its limit.
+    [[nodiscard]] std::map<std::string, teams::resources> running() const;
+
     /// Returns the counts since the start.
     [[nodiscard]] const engine_counters& counters() const;
 
@@ -105,7 +114,7 @@
     [[nodiscard]] std::shared_ptr<const settings::snapshot> in_force() const;
 
 private:
-    enum class timer_kind { queue_deadline, query, forget, release_orphan };
+    enum class timer_kind { queue_deadline, query, claim, forget, release_orphan };
 
     struct timer {
         timer_kind kind;
@@ -119,13 +128,21 @@
         teams::resources need;
     };
 
+    /// A task that this node holds without a request of its own.
+    struct inherited_task {
+        routing::reported_task what;
+        common::steady_time keep_until; ///< counted until then, whatever reports say
+    };
+
     // Admission and the ends of requests.
     void handle(const submitted& wanted);
     void handle(const cancel_wanted& wanted);
     void handle(const worker_replied& reply);
+    void handle(const claim_replied& reply);
     void handle(const settings_accepted& accepted);
     void handle(const vm_list_received& received);
     void handle(const usage_received& received);
+    void handle(const peers_heard& heard);
     void handle(const ticked& passed);
     void handle(const stop_wanted& wanted);
     bool check_queue(record& each);
@@ -145,10 +162,23 @@
     [[nodiscard]] common::milliseconds expected_wait(const record& each) const;
 
     // Recovery: what a node of this name left running before this engine was made.
+    void count_inherited(const std::string& vm, const routing::reported_task& task);
+    void renew_inherited(const usage_received& received);
+    void adopt_orphaned(const usage_received& received);
+    [[nodiscard]] bool is_due(const routing::reported_task& task) const;
+    [[nodiscard]] bool is_chosen_for(const std::string& task) const;
     void take_inherited(const std::string& vm, const std::vector<routing::reported_task>& tasks);
     void drop_silent_inherited();
+    void note_departed(const std::vector<routing::upstream_info>& vms);
     [[nodiscard]] bool is_recovering() const;
 
+    // Claims: what other nodes may have started under an idempotency key.
+    void claim(record& each);
+    void after_claims(record& each);
+    void adopt(record& each, const attempt_id& run);
+    void enqueue(record& each);
+    [[nodiscard]] std::vector<std::string> claim_pools(const record& each) const;
+
     // Placement.
     void dispatch_all();
     void dispatch(const std::string& pool);
@@ -164,6 +194,7 @@
     void after_running(record& each, const worker_replied& reply);
     void after_finished(record& each, const worker_replied& reply);
     void after_not_started(record& each, const worker_replied& reply);
+    void after_claimed(record& each);
     void after_lost(record& each);
     void after_vanished(record& each, const std::string& cause);
     void query_again(record& each);
@@ -193,7 +224,9 @@
     std::map<std::string, int> urgent_streaks; ///< by pool: urgent starts since a normal one
     std::map<std::string, routing::run_time_estimator> estimators;
     std::map<std::string, orphan> orphans;
-    std::map<std::string, std::map<std::string, routing::reported_task>> inherited; ///< by VM, task
+    std::map<std::string, std::pair<std::string, common::steady_time>> departed; ///< VM: pool, time
+    std::map<std::string, std::map<std::string, inherited_task>> inherited;      ///< by VM, task
+    std::set<std::string> live_nodes;
     std::set<std::string> unheard_vms; ///< listed, but without a report since this engine was made
     std::map<std::string, common::steady_time> heard_vms; ///< with the time of the last report
     std::optional<common::steady_time> made_at;
--- a/src/requests/engine_admission.h
+++ b/src/requests/engine_admission.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "common/crypto.h"
 #include "requests/engine.h"
 
 // Admission: what happens to a request until it waits for room, and how requests end.
@@ -44,10 +43,20 @@
     }
     this->budget.add_request();
     this->id_of_task[each.task] = wanted.id;
+    if (wanted.must_claim) {
+        this->claim(each);
+        return;
+    }
+    this->enqueue(each);
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::enqueue(record& each)
+{
     move_to(each, stage::queued, this->invariants);
     each.line = this->queue_of(each).pool;
-    this->lines[each.line].add(each.who.team, wanted.urgent, wanted.id, false);
-    this->set_timer(each.deadline, timer_kind::queue_deadline, wanted.id);
+    this->lines[each.line].add(each.who.team, each.request.urgent, each.request.id, false);
+    this->set_timer(each.deadline, timer_kind::queue_deadline, each.request.id);
     this->dispatch(each.line);
 }
 
@@ -74,22 +83,12 @@
 bool engine<Guard>::check_key(record& each)
 {
     const settings::queue& queue = this->queue_of(each);
-    const auto who = teams::authenticate(*this->settings_in_force, each.request.presented_key);
-    if (who) {
-        const auto& team = this->settings_in_force->teams.at(who.value().team);
-        if (!queue.open && team.workspace != queue.workspace) {
-            this->refuse(each, refusal::wrong_key,
-                         "team \"" + who.value().team + "\" has no access to queue \"" +
-                             each.request.queue + "\"");
-            return false;
-        }
-        each.who = who.value();
-    } else if (queue.open && each.request.presented_key.empty()) {
-        each.who = {queue.open_team, {}};
-    } else {
+    const auto who = identity_of(*this->settings_in_force, each.request);
+    if (!who) {
         this->refuse(each, refusal::wrong_key, who.error().detail);
         return false;
     }
+    each.who = who.value();
     if (this->options.fault == planted_fault::wrong_team) {
         each.who.team = this->settings_in_force->teams.rbegin()->first;
     }
@@ -108,7 +107,7 @@
     if (each.request.idempotency_key.empty()) {
         return false;
     }
-    each.task = "t" + common::sha256_hex(each.who.team + "\n" + each.request.idempotency_key);
+    each.task = keyed_task(each.who.team, each.request.idempotency_key);
     const auto found = this->id_of_task.find(each.task);
     if (found == this->id_of_task.end()) {
         return false;
@@ -272,6 +271,9 @@
         each.cancel_wanted = true;
         this->pending.push_back(stop_task{*each.attempt, each.address});
         break;
+    case stage::claiming:
+        each.cancel_wanted = true;
+        break;
     case stage::received:
     case stage::authenticated:
     case stage::ended:
@@ -329,6 +331,7 @@
 template <teams::limit_guard_type Guard>
 void engine<Guard>::handle(const vm_list_received& received)
 {
+    this->note_departed(received.vms);
     this->view.update_vm_list(received.vms);
     this->drop_silent_inherited();
     this->unheard_vms.clear();
@@ -346,62 +349,12 @@
 {
     this->view.update_usage(received.vm, received.report);
     this->take_inherited(received.vm, received.report.own);
+    this->renew_inherited(received);
+    this->adopt_orphaned(received);
     this->heard_vms[received.vm] = this->now;
     this->unheard_vms.erase(received.vm);
 }
 
-template <teams::limit_guard_type Guard>
-void engine<Guard>::drop_silent_inherited()
-{
-    for (const auto& [vm, heard_at] : this->heard_vms) {
-        // By now the upstream has stopped what nobody asked for, or it is gone.
-        if (this->now > heard_at + this->options.task_lease + this->options.lease_margin) {
-            this->take_inherited(vm, {});
-        }
-    }
-}
-
-template <teams::limit_guard_type Guard>
-void engine<Guard>::take_inherited(const std::string& vm,
-                                   const std::vector<routing::reported_task>& tasks)
-{
-    auto& known = this->inherited[vm];
-    std::map<std::string, routing::reported_task> reported;
-    for (const routing::reported_task& each : tasks) {
-        if (!this->id_of_task.contains(each.task)) {
-            reported[each.task] = each;
-        }
-    }
-    for (const auto& [task, each] : reported) {
-        if (!known.contains(task)) {
-            this->guard.acquire(each.team);
-            this->shares.add_running(each.team, each.need);
-            this->view.add_own(vm, each.need);
-        }
-    }
-    for (const auto& [task, each] : known) {
-        if (!reported.contains(task)) {
-            this->guard.release(each.team);
-            this->shares.remove_running(each.team, each.need);
-            this->view.remove_own(vm, each.need);
-        }
-    }
-    known = std::move(reported);
-}
-
-template <teams::limit_guard_type Guard>
-bool engine<Guard>::is_recovering() const
-{
-    const auto longest_left = this->options.task_lease + this->options.lease_margin;
-    return !this->unheard_vms.empty() && this->now < *this->made_at + longest_left;
-}
-
-template <teams::limit_guard_type Guard>
-bool engine<Guard>::has_recovered() const
-{
-    return this->made_at && !this->heard_vms.empty() && !this->is_recovering();
-}
-
 template <teams::limit_guard_type Guard>
 void engine<Guard>::handle(const ticked& /*passed*/)
 {
@@ -457,6 +410,11 @@
             this->end_in_queue(each);
         }
         break;
+    case timer_kind::claim:
+        if (each.at == stage::claiming) {
+            this->after_claims(each);
+        }
+        break;
     case timer_kind::query:
         if (each.at == stage::resolving) {
             this->query_again(each);
@@ -540,6 +498,12 @@
     return all;
 }
 
+template <teams::limit_guard_type Guard>
+std::map<std::string, teams::resources> engine<Guard>::running() const
+{
+    return this->shares.all_running_here();
+}
+
 template <teams::limit_guard_type Guard>
 const engine_counters& engine<Guard>::counters() const
 {
--- a/src/requests/engine_attempts.h
+++ b/src/requests/engine_attempts.h
@@ -55,6 +55,9 @@
     case reply_kind::draining:
         this->after_not_started(*each, reply);
         break;
+    case reply_kind::claimed:
+        this->after_claimed(*each);
+        break;
     case reply_kind::epoch_changed:
         this->view.forget_epoch(reply.attempt.worker);
         if (reply.was_query) {
@@ -140,6 +143,7 @@
         each.avoid.insert(worker);
         break;
     case reply_kind::full:
+    case reply_kind::not_started:
         this->view.mark_full(worker, this->now + this->options.full_pause);
         break;
     default:
@@ -162,6 +166,18 @@
     this->requeue(each, true);
 }
 
+template <teams::limit_guard_type Guard>
+void engine<Guard>::after_claimed(record& each)
+{
+    this->release(each);
+    --each.attempts;
+    --each.open_attempts;
+    answer whole;
+    whole.result = fate::unknown;
+    whole.cause = "another node has taken over this idempotency key; ask again with the same key";
+    this->end(each, std::move(whole));
+}
+
 template <teams::limit_guard_type Guard>
 void engine<Guard>::after_lost(record& each)
 {
--- /dev/null
+++ b/src/requests/engine_claims.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "requests/engine.h"
+
+// Claims: the upstreams decide between nodes that were each other's home for an idempotency key.
+namespace chervilslip::requests {
+
+template <teams::limit_guard_type Guard>
+std::vector<std::string> engine<Guard>::claim_pools(const record& each) const
+{
+    const settings::queue& queue = this->queue_of(each);
+    const std::string& spare = this->settings_in_force->whole_fleet.spare_pool;
+    std::vector<std::string> pools{queue.pool};
+    if (queue.overflow_to_spare && !spare.empty() && spare != queue.pool) {
+        pools.push_back(spare);
+    }
+    return pools;
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::claim(record& each)
+{
+    move_to(each, stage::claiming, this->invariants);
+    ++this->counts.claims;
+    for (const std::string& pool : this->claim_pools(each)) {
+        for (const routing::candidate& member : this->view.members_of(pool)) {
+            each.unclaimed.insert(member.vm);
+            this->pending.push_back(claim_task{each.task, member.vm, member.address});
+        }
+        for (const auto& [vm, pool_and_time] : this->departed) {
+            if (pool_and_time.first == pool) {
+                each.inconclusive = vm;
+            }
+        }
+    }
+    this->set_timer(this->now + this->options.claim_time, timer_kind::claim, each.request.id);
+    if (each.unclaimed.empty()) {
+        this->after_claims(each);
+    }
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::handle(const claim_replied& reply)
+{
+    const auto id = this->id_of_task.find(reply.attempt.task);
+    if (id == this->id_of_task.end()) {
+        return;
+    }
+    record& each = this->records.at(id->second);
+    if (each.at != stage::claiming || each.unclaimed.erase(reply.attempt.worker) == 0) {
+        return;
+    }
+    switch (reply.kind) {
+    case claim_kind::free:
+        break;
+    case claim_kind::inconclusive:
+        each.inconclusive = reply.attempt.worker;
+        break;
+    case claim_kind::running:
+        this->adopt(each, reply.attempt);
+        return;
+    case claim_kind::finished: {
+        answer whole;
+        whole.result = reply.succeeded ? fate::done : fate::failed;
+        whole.cause = reply.succeeded ? "" : "the task failed";
+        whole.output = reply.output;
+        whole.worker = reply.attempt.worker;
+        this->end(each, std::move(whole));
+        return;
+    }
+    }
+    if (each.unclaimed.empty()) {
+        this->after_claims(each);
+    }
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::adopt(record& each, const attempt_id& run)
+{
+    // The run counts under the right of the node that started it.
+    ++this->counts.adopted;
+    each.attempt = run;
+    each.address = this->view.address_of(run.worker);
+    each.placements = run.number;
+    each.attempts = 1;
+    each.open_attempts = 1;
+    each.started_at = this->now;
+    move_to(each, stage::started, this->invariants);
+    this->pending.push_back(query_task{run, each.address});
+    if (each.cancel_wanted) {
+        this->pending.push_back(stop_task{run, each.address});
+    }
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::after_claims(record& each)
+{
+    const std::string silent = each.unclaimed.empty() ? each.inconclusive : *each.unclaimed.begin();
+    if (!silent.empty()) {
+        answer whole;
+        whole.result = fate::unknown;
+        whole.cause =
+            "another node may have started this task on VM \"" + silent + "\", which cannot tell";
+        this->end(each, std::move(whole));
+        return;
+    }
+    if (each.cancel_wanted) {
+        this->refuse(each, refusal::cancelled, "cancelled before its start");
+        return;
+    }
+    const bool queue_gone = !this->settings_in_force->queues.contains(each.request.queue);
+    const bool key_gone =
+        !each.who.key_id.empty() && !teams::is_active(*this->settings_in_force, each.who);
+    if (queue_gone || key_gone) {
+        this->end_without_queue(each);
+        return;
+    }
+    this->enqueue(each);
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::note_departed(const std::vector<routing::upstream_info>& vms)
+{
+    std::set<std::string> listed;
+    for (const routing::upstream_info& each : vms) {
+        listed.insert(each.vm);
+        this->departed.erase(each.vm);
+    }
+    for (const routing::upstream_info& each : this->view.all()) {
+        if (!listed.contains(each.vm)) {
+            this->departed.try_emplace(each.vm, this->view.pool_of(each.vm), this->now);
+        }
+    }
+    std::erase_if(this->departed, [this](const auto& item) {
+        return this->now - item.second.second > this->options.claim_memory;
+    });
+}
+
+} // namespace chervilslip::requests
--- /dev/null
+++ b/src/requests/engine_recovery.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "common/crypto.h"
+#include "requests/engine.h"
+
+// Recovery: tasks that run although the node that started them is gone, or has started anew.
+namespace chervilslip::requests {
+
+template <teams::limit_guard_type Guard>
+bool engine<Guard>::is_recovering() const
+{
+    const auto longest_left = this->options.task_lease + this->options.lease_margin;
+    return !this->unheard_vms.empty() && this->now < *this->made_at + longest_left;
+}
+
+template <teams::limit_guard_type Guard>
+bool engine<Guard>::has_recovered() const
+{
+    return this->made_at && !this->heard_vms.empty() && !this->is_recovering();
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::drop_silent_inherited()
+{
+    for (const auto& [vm, heard_at] : this->heard_vms) {
+        // By now the upstream has stopped what nobody asked for, or it is gone.
+        if (this->now > heard_at + this->options.task_lease + this->options.lease_margin) {
+            this->take_inherited(vm, {});
+        }
+    }
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::count_inherited(const std::string& vm, const routing::reported_task& task)
+{
+    this->guard.acquire(task.team);
+    this->shares.add_running(task.team, task.need);
+    this->view.add_own(vm, task.need);
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::take_inherited(const std::string& vm,
+                                   const std::vector<routing::reported_task>& tasks)
+{
+    auto& known = this->inherited[vm];
+    std::map<std::string, inherited_task> reported;
+    for (const routing::reported_task& each : tasks) {
+        if (!this->id_of_task.contains(each.task)) {
+            reported[each.task] = {each, this->now};
+        }
+    }
+    for (const auto& [task, each] : reported) {
+        if (!known.contains(task)) {
+            this->count_inherited(vm, each.what);
+        }
+    }
+    for (const auto& [task, each] : known) {
+        if (reported.contains(task)) {
+            continue;
+        }
+        if (this->now < each.keep_until) {
+            reported[task] = each; // Reports from before the takeover do not show it yet.
+            continue;
+        }
+        this->guard.release(each.what.team);
+        this->shares.remove_running(each.what.team, each.what.need);
+        this->view.remove_own(vm, each.what.need);
+    }
+    known = std::move(reported);
+}
+
+template <teams::limit_guard_type Guard>
+bool engine<Guard>::is_due(const routing::reported_task& task) const
+{
+    return task.lease_left < this->options.task_lease / 2;
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::renew_inherited(const usage_received& received)
+{
+    for (const routing::reported_task& each : received.report.own) {
+        if (!this->id_of_task.contains(each.task) && this->is_due(each)) {
+            this->pending.push_back(
+                adopt_task{each.task, received.vm, this->view.address_of(received.vm)});
+        }
+    }
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::adopt_orphaned(const usage_received& received)
+{
+    auto& known = this->inherited[received.vm];
+    for (const routing::reported_task& each : received.report.others) {
+        const bool orphaned = !this->live_nodes.empty() && !this->live_nodes.contains(each.node) &&
+                              this->is_due(each);
+        if (!orphaned || known.contains(each.task) || !this->is_chosen_for(each.task) ||
+            !this->guard.has_room(each.team)) {
+            continue;
+        }
+        // The task counts under this node's part of the limit from now on: its own node, which may
+        // be cut off and alive, frees its right when the lease that it knows of is over.
+        this->count_inherited(received.vm, each);
+        known[each.task] = {each, this->now + this->options.task_lease};
+        ++this->counts.taken_over;
+        this->pending.push_back(
+            adopt_task{each.task, received.vm, this->view.address_of(received.vm)});
+    }
+}
+
+template <teams::limit_guard_type Guard>
+bool engine<Guard>::is_chosen_for(const std::string& task) const
+{
+    const auto weight = [&task](const std::string& node) {
+        return common::sha256_hex(task + "\n" + node);
+    };
+    const std::string own = weight(this->options.node);
+    return std::all_of(
+        this->live_nodes.begin(), this->live_nodes.end(),
+        [&](const std::string& node) { return node == this->options.node || weight(node) < own; });
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::handle(const peers_heard& heard)
+{
+    this->live_nodes = heard.live;
+    this->shares.set_running_elsewhere(heard.running);
+}
+
+} // namespace chervilslip::requests
--- a/src/requests/messages.h
+++ b/src/requests/messages.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <compare>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -42,6 +44,7 @@
     stopping,
     no_upstream,
     key_reused,
+    home_unreachable,
 };
 
 /// Returns the name of a refusal as the API shows it. Thread safe.
@@ -83,6 +86,7 @@
     std::optional<bool> repeatable;
     std::optional<common::milliseconds> deadline;
     std::optional<settings::task_size> size;
+    bool must_claim = false; ///< another node may have started a task under this idempotency key
 
     friend bool operator==(const submitted&, const submitted&) = default;
 };
@@ -101,6 +105,7 @@
     not_started,   ///< the upstream refused it and will never start it
     full,          ///< as `not_started`, for lack of room
     draining,      ///< as `not_started`, because the upstream is leaving
+    claimed,       ///< as `not_started`, because another node has claimed the task
     epoch_changed, ///< as `not_started` for a start; for a query the upstream has forgotten
     not_sent,      ///< no byte reached the upstream
     lost,          ///< the upstream may have acted
@@ -118,6 +123,24 @@
     friend bool operator==(const worker_replied&, const worker_replied&) = default;
 };
 
+/// What an upstream said of a task that this node claims.
+enum class claim_kind {
+    free,         ///< it has never run there, and only this node may start it from now on
+    running,      ///< it runs there
+    finished,     ///< it ran there; `succeeded` and `output` tell how it ended
+    inconclusive, ///< the upstream was not reached, or has forgotten what it ran
+};
+
+/// The reply to a claim.
+struct claim_replied {
+    attempt_id attempt; ///< of the run that the upstream knows; the number is 0 when it knows none
+    claim_kind kind = claim_kind::inconclusive;
+    bool succeeded = false;
+    std::string output;
+
+    friend bool operator==(const claim_replied&, const claim_replied&) = default;
+};
+
 /// Newly accepted settings.
 struct settings_accepted {
     std::shared_ptr<const settings::snapshot> in_force;
@@ -140,6 +163,14 @@
     friend bool operator==(const usage_received&, const usage_received&) = default;
 };
 
+/// What this node's peers were last heard to be and to have running.
+struct peers_heard {
+    std::set<std::string> live;                      ///< names, with this node's own
+    std::map<std::string, teams::resources> running; ///< by team, on all live peers
+
+    friend bool operator==(const peers_heard&, const peers_heard&) = default;
+};
+
 /// Time has passed.
 struct ticked {
     friend bool operator==(const ticked&, const ticked&) = default;
@@ -150,8 +181,9 @@
     friend bool operator==(const stop_wanted&, const stop_wanted&) = default;
 };
 
-using event = std::variant<submitted, cancel_wanted, worker_replied, settings_accepted,
-                           vm_list_received, usage_received, ticked, stop_wanted>;
+using event =
+    std::variant<submitted, cancel_wanted, worker_replied, claim_replied, settings_accepted,
+                 vm_list_received, usage_received, peers_heard, ticked, stop_wanted>;
 
 // Actions.
 
@@ -185,6 +217,25 @@
     friend bool operator==(const stop_task&, const stop_task&) = default;
 };
 
+/// Claim a task on an upstream: ask whether it ever ran there, and keep other nodes from starting
+/// it there.
+struct claim_task {
+    std::string task;
+    std::string worker;
+    std::string address;
+
+    friend bool operator==(const claim_task&, const claim_task&) = default;
+};
+
+/// Take over a running task whose node is gone, and renew its lease.
+struct adopt_task {
+    std::string task;
+    std::string worker;
+    std::string address;
+
+    friend bool operator==(const adopt_task&, const adopt_task&) = default;
+};
+
 /// Give the caller its answer.
 struct give_answer {
     std::string id;
@@ -203,7 +254,8 @@
     friend bool operator==(const note&, const note&) = default;
 };
 
-using action = std::variant<start_task, query_task, stop_task, give_answer, note>;
+using action =
+    std::variant<start_task, query_task, stop_task, claim_task, adopt_task, give_answer, note>;
 using actions = std::vector<action>;
 
 } // namespace chervilslip::requests
--- a/src/requests/record.cpp
+++ b/src/requests/record.cpp
@@ -1,5 +1,7 @@
 #include "requests/record.h"
 
+#include "common/crypto.h"
+
 namespace chervilslip::requests {
 
 std::string_view to_string(fate value)
@@ -48,6 +50,8 @@
         return "no_upstream";
     case refusal::key_reused:
         return "key_reused";
+    case refusal::home_unreachable:
+        return "home_unreachable";
     }
     return "none";
 }
@@ -59,6 +63,8 @@
         return "received";
     case stage::authenticated:
         return "authenticated";
+    case stage::claiming:
+        return "claiming";
     case stage::queued:
         return "queued";
     case stage::placed:
@@ -79,7 +85,9 @@
     case stage::received:
         return to == stage::authenticated || to == stage::ended;
     case stage::authenticated:
-        return to == stage::queued || to == stage::ended;
+        return to == stage::claiming || to == stage::queued || to == stage::ended;
+    case stage::claiming:
+        return to == stage::queued || to == stage::started || to == stage::ended;
     case stage::queued:
         return to == stage::placed || to == stage::ended;
     case stage::placed:
@@ -95,6 +103,39 @@
     return false;
 }
 
+common::result<teams::identity> identity_of(const settings::snapshot& in_force,
+                                            const submitted& request)
+{
+    const settings::queue& queue = in_force.queues.at(request.queue);
+    if (queue.open && request.presented_key.empty()) {
+        return teams::identity{queue.open_team, {}};
+    }
+    auto who = teams::authenticate(in_force, request.presented_key);
+    if (!who) {
+        return who.error();
+    }
+    if (!queue.open && in_force.teams.at(who.value().team).workspace != queue.workspace) {
+        return common::make_error(common::errc::refused, "authenticate key", "",
+                                  "team \"" + who.value().team + "\" has no access to queue \"" +
+                                      request.queue + "\"");
+    }
+    return who;
+}
+
+std::optional<std::string> team_of(const settings::snapshot& in_force, const submitted& request)
+{
+    if (!in_force.queues.contains(request.queue)) {
+        return std::nullopt;
+    }
+    const auto who = identity_of(in_force, request);
+    return who ? std::optional{who.value().team} : std::nullopt;
+}
+
+std::string keyed_task(const std::string& team, const std::string& idempotency_key)
+{
+    return "t" + common::sha256_hex(team + "\n" + idempotency_key);
+}
+
 void move_to(record& each, stage next, common::invariant_monitor& invariants)
 {
     invariants.check(common::invariant::legal_transition, is_legal(each.at, next), [&] {
--- a/src/requests/record.h
+++ b/src/requests/record.h
@@ -10,6 +10,7 @@
 enum class stage {
     received,
     authenticated,
+    claiming, ///< upstreams are asked whether an earlier node has started the task
     queued,
     placed,    ///< a start was sent; it is not known whether it took effect
     started,   ///< the upstream said that the task runs
@@ -48,9 +49,23 @@
     bool counted = false; ///< holds a right of its team's limit, and room on an upstream
     bool cancel_wanted = false;
     std::optional<answer> result;
+    std::set<std::string> unclaimed; ///< upstreams whose reply to the claim is missing
+    std::string inconclusive;        ///< an upstream that may have run the task, and cannot say
     std::vector<std::string> joined; ///< requests with the same idempotency key
 };
 
+/// Returns the team that a request counts for, or why it has none: on an open queue without a key
+/// the queue's own team, else the team of the key, which must belong to the queue's workspace.
+/// Precondition: the queue exists. Thread safe. Errors: `refused`.
+common::result<teams::identity> identity_of(const settings::snapshot& in_force,
+                                            const submitted& request);
+
+/// Returns the team that a request counts for, or nothing. Thread safe.
+std::optional<std::string> team_of(const settings::snapshot& in_force, const submitted& request);
+
+/// Returns the task that an idempotency key of a team stands for. Thread safe.
+std::string keyed_task(const std::string& team, const std::string& idempotency_key);
+
 /// Moves a request to another stage and checks that the step is legal.
 void move_to(record& each, stage next, common::invariant_monitor& invariants);
 
--- a/src/routing/upstream.h
+++ b/src/routing/upstream.h
@@ -27,6 +27,8 @@
     std::string task;
     std::string team;
     teams::resources need;
+    std::string node;                   ///< that holds it
+    common::milliseconds lease_left{0}; ///< then the upstream stops it
 
     friend bool operator==(const reported_task&, const reported_task&) = default;
 };
@@ -36,7 +38,8 @@
     std::string epoch;          ///< changes whenever the upstream starts anew
     teams::resources by_others; ///< held by tasks of other entry nodes
     bool draining = false;
-    std::vector<reported_task> own; ///< tasks that this node, or one of its name before, started
+    std::vector<reported_task> own;    ///< held by this node, or one of its name before
+    std::vector<reported_task> others; ///< held by other nodes
 
     friend bool operator==(const usage_report&, const usage_report&) = default;
 };
--- a/src/routing/upstream_view.cpp
+++ b/src/routing/upstream_view.cpp
@@ -314,6 +314,18 @@
     return members;
 }
 
+std::string upstream_view::address_of(const std::string& vm) const
+{
+    const auto found = this->entries.find(vm);
+    return found == this->entries.end() ? std::string{} : found->second.info.address;
+}
+
+std::string upstream_view::pool_of(const std::string& vm) const
+{
+    const auto found = this->entries.find(vm);
+    return found == this->entries.end() ? std::string{} : found->second.pool;
+}
+
 std::vector<upstream_info> upstream_view::all() const
 {
     std::vector<upstream_info> known;
--- a/src/routing/upstream_view.h
+++ b/src/routing/upstream_view.h
@@ -122,6 +122,12 @@
     /// Returns the VMs of a pool that are known, with their addresses.
     [[nodiscard]] std::vector<candidate> members_of(const std::string& pool) const;
 
+    /// Returns the address of an upstream; empty for an unknown one.
+    [[nodiscard]] std::string address_of(const std::string& vm) const;
+
+    /// Returns the pool of an upstream; empty for an unknown one.
+    [[nodiscard]] std::string pool_of(const std::string& vm) const;
+
     /// Returns all known VMs with their addresses.
     [[nodiscard]] std::vector<upstream_info> all() const;
 
--- a/src/settings/document_tree.cpp
+++ b/src/settings/document_tree.cpp
@@ -98,6 +98,16 @@
     }
 }
 
+common::result<nlohmann::json> load_commented_json(const std::string& file)
+{
+    std::error_code failure;
+    if (!std::filesystem::is_regular_file(file, failure)) {
+        return boost::outcome_v2::failure(
+            make_error(errc::not_found, "read file", file, "no readable file"));
+    }
+    return parse_commented_json(read_file(file), file);
+}
+
 loaded_directory load_directory(const std::filesystem::path& directory)
 {
     loaded_directory loaded;
@@ -112,7 +122,7 @@
         }
         auto relative = std::filesystem::relative(entry.path(), directory);
         const std::string path = "/" + relative.replace_extension().generic_string();
-        auto parsed = parse_commented_json(read_file(entry.path()), entry.path().string());
+        auto parsed = load_commented_json(entry.path().string());
         if (!parsed) {
             loaded.problems.push_back(
                 {entry.path().string(), path, parsed.error().detail, "JSON with comments"});
--- a/src/settings/document_tree.h
+++ b/src/settings/document_tree.h
@@ -37,6 +37,10 @@
 common::result<nlohmann::json> parse_commented_json(const std::string& text,
                                                     const std::string& file);
 
+/// Reads and parses a file of JSON with comments. Thread safe.
+/// Errors: `not_found` when it cannot be read, `bad_message` as above.
+common::result<nlohmann::json> load_commented_json(const std::string& file);
+
 /// Reads every ".json" file below `directory`; the path of a document is its file's relative
 /// name. Thread safe.
 loaded_directory load_directory(const std::filesystem::path& directory);
--- a/src/settings/manifest.cpp
+++ b/src/settings/manifest.cpp
@@ -1,26 +1,13 @@
 #include "settings/manifest.h"
 
-namespace chervilslip::settings {
+#include "common/json_reader.h"
 
-namespace {
+namespace chervilslip::settings {
 
 using common::errc;
 using common::make_error;
 using nlohmann::json;
 
-/// Parses a text and hands it to `read`; any mismatch becomes one error.
-template <typename T, typename Read>
-common::result<T> read_object(const std::string& step, const std::string& text, Read read)
-{
-    try {
-        return read(json::parse(text));
-    } catch (const json::exception& failure) {
-        return make_error(errc::bad_message, step, "store", failure.what());
-    }
-}
-
-} // namespace
-
 std::string document_key(const std::string& hash)
 {
     return "/chervilslip/documents/" + hash;
@@ -48,7 +35,7 @@
 
 common::result<manifest> parse_manifest(const std::string& text)
 {
-    return read_object<manifest>("read manifest", text, [](const json& source) {
+    return common::read_json<manifest>("read manifest", text, "store", [](const json& source) {
         manifest value;
         value.number = source.at("number").get<std::int64_t>();
         value.change = source.at("change").get<std::string>();
@@ -63,21 +50,22 @@
 
 common::result<change_record> parse_change(const std::string& text)
 {
-    return read_object<change_record>("read change record", text, [](const json& source) {
-        change_record value;
-        value.number = source.at("number").get<std::int64_t>();
-        value.id = source.at("id").get<std::string>();
-        value.author = source.at("author").get<std::string>();
-        value.reason = source.at("reason").get<std::string>();
-        value.at_ms = source.at("at_ms").get<std::int64_t>();
-        value.previous = source.at("previous").get<std::string>();
-        for (const json& each : source.at("edits")) {
-            value.edits.push_back({each.at("path").get<std::string>(),
-                                   each.at("before").get<std::string>(),
-                                   each.at("after").get<std::string>()});
-        }
-        return value;
-    });
+    return common::read_json<change_record>(
+        "read change record", text, "store", [](const json& source) {
+            change_record value;
+            value.number = source.at("number").get<std::int64_t>();
+            value.id = source.at("id").get<std::string>();
+            value.author = source.at("author").get<std::string>();
+            value.reason = source.at("reason").get<std::string>();
+            value.at_ms = source.at("at_ms").get<std::int64_t>();
+            value.previous = source.at("previous").get<std::string>();
+            for (const json& each : source.at("edits")) {
+                value.edits.push_back({each.at("path").get<std::string>(),
+                                       each.at("before").get<std::string>(),
+                                       each.at("after").get<std::string>()});
+            }
+            return value;
+        });
 }
 
 json to_json(const proposal& value)
--- a/src/settings/object_reader.cpp
+++ b/src/settings/object_reader.cpp
@@ -233,6 +233,29 @@
     return all;
 }
 
+std::vector<std::string> object_reader::texts_or_none(const std::string& field,
+                                                      std::size_t most_bytes)
+{
+    std::vector<std::string> all;
+    const nlohmann::json* value = this->find(field);
+    if (value == nullptr) {
+        return all;
+    }
+    if (!value->is_array()) {
+        this->report(field, shown(*value), "a list of texts");
+        return all;
+    }
+    for (const nlohmann::json& item : *value) {
+        if (item.is_string() && item.get_ref<const std::string&>().size() <= most_bytes) {
+            all.push_back(item.get<std::string>());
+        } else {
+            this->report(field, shown(item),
+                         "a text of at most " + std::to_string(most_bytes) + " bytes");
+        }
+    }
+    return all;
+}
+
 const nlohmann::json* object_reader::object(const std::string& field)
 {
     const nlohmann::json* value = this->find(field);
--- a/src/settings/repository.h
+++ b/src/settings/repository.h
@@ -130,6 +130,14 @@
             });
     }
 
+    /// Keeps a text that a peer gave, if its hash is right.
+    void offer(const std::string& hash, const std::string& text)
+    {
+        if (common::sha256_hex(text) == hash) {
+            this->remember(hash, text);
+        }
+    }
+
 private:
     static constexpr std::size_t parallel_reads = 16;
     static constexpr std::size_t max_cached_documents = 8192;
--- a/src/soak/world.cpp
+++ b/src/soak/world.cpp
@@ -523,7 +523,7 @@
         break;
     case 2:
         this->trace_line(vm + " reboots");
-        worker.reboot();
+        worker.reboot(this->now);
         this->worker_down_until[vm] = this->now + some_time / 4;
         break;
     case 3:
--- a/src/store/etcd_codec.cpp
+++ b/src/store/etcd_codec.cpp
@@ -1,6 +1,7 @@
 #include "store/etcd_codec.h"
 
 #include "common/crypto.h"
+#include "common/json_reader.h"
 
 namespace chervilslip::store::etcd {
 
@@ -8,24 +9,8 @@
 
 using common::base64_decode;
 using common::base64_encode;
-using common::errc;
-using common::make_error;
 using nlohmann::json;
 
-/// Parses `text` and hands it to `read`; any mismatch becomes one error.
-template <typename T, typename Read>
-common::result<T> read_message(const std::string& step, const std::string& text,
-                               const std::string& peer, Read read)
-{
-    try {
-        return read(json::parse(text));
-    } catch (const json::exception& failure) {
-        return make_error(errc::bad_message, step, peer, failure.what());
-    } catch (const std::logic_error& failure) {
-        return make_error(errc::bad_message, step, peer, failure.what());
-    }
-}
-
 std::string bytes_of(const json& object, const std::string& field)
 {
     std::string bytes;
@@ -80,7 +65,7 @@
                                                            const std::string& peer)
 {
     using answer = std::optional<versioned_value>;
-    return read_message<answer>("read key", body, peer, [](const json& message) {
+    return common::read_json<answer>("read key", body, peer, [](const json& message) {
         const auto values = message.find("kvs");
         if (values == message.end() || values->empty()) {
             return answer{};
@@ -92,7 +77,7 @@
 
 common::result<swap_outcome> parse_swap(const std::string& body, const std::string& peer)
 {
-    return read_message<swap_outcome>("compare and swap", body, peer, [](const json& message) {
+    return common::read_json<swap_outcome>("compare and swap", body, peer, [](const json& message) {
         return swap_outcome{message.value("succeeded", false),
                             number_of(message.at("header"), "revision")};
     });
@@ -100,7 +85,7 @@
 
 common::result<std::int64_t> parse_lease(const std::string& body, const std::string& peer)
 {
-    return read_message<std::int64_t>("grant lease", body, peer, [](const json& message) {
+    return common::read_json<std::int64_t>("grant lease", body, peer, [](const json& message) {
         message.at("ID");
         return number_of(message, "ID");
     });
@@ -108,7 +93,7 @@
 
 common::result<watch_message> parse_watch(const std::string& line, const std::string& peer)
 {
-    return read_message<watch_message>("watch", line, peer, [](const json& message) {
+    return common::read_json<watch_message>("watch", line, peer, [](const json& message) {
         const json& body = message.at("result");
         watch_message parsed;
         parsed.revision = number_of(body.value("header", json::object()), "revision");
--- a/src/teams/fair_share.cpp
+++ b/src/teams/fair_share.cpp
@@ -85,9 +85,9 @@
     return dominant / (weight == this->weights.end() ? 1.0 : weight->second);
 }
 
-resources fair_share::running_here(const std::string& team) const
+const std::map<std::string, resources>& fair_share::all_running_here() const
 {
-    return find_or_none(this->here, team);
+    return this->here;
 }
 
 } // namespace chervilslip::teams
--- a/src/teams/fair_share.h
+++ b/src/teams/fair_share.h
@@ -47,8 +47,8 @@
     /// Returns the team's largest fraction of any resource, divided by its weight.
     [[nodiscard]] double weighted_dominant_share(const std::string& team) const;
 
-    /// Returns what a team has running on this node.
-    [[nodiscard]] resources running_here(const std::string& team) const;
+    /// Returns what each team has running on this node.
+    [[nodiscard]] const std::map<std::string, resources>& all_running_here() const;
 
 private:
     resources capacity;
--- a/src/workers/protocol.cpp
+++ b/src/workers/protocol.cpp
@@ -1,5 +1,7 @@
 #include "workers/protocol.h"
 
+#include "common/json_reader.h"
+
 namespace chervilslip::workers {
 
 namespace {
@@ -10,7 +12,8 @@
 using requests::attempt_id;
 using requests::reply_kind;
 
-constexpr std::array<std::pair<reply_kind, std::string_view>, 6> kind_names{{
+constexpr std::array<std::pair<reply_kind, std::string_view>, 7> kind_names{{
+    {reply_kind::claimed, "claimed"},
     {reply_kind::running, "running"},
     {reply_kind::finished, "finished"},
     {reply_kind::not_started, "not_started"},
@@ -33,6 +36,21 @@
     return found == kind_names.end() ? std::nullopt : std::optional{found->first};
 }
 
+std::string_view claim_name(requests::claim_kind kind)
+{
+    switch (kind) {
+    case requests::claim_kind::free:
+        return "free";
+    case requests::claim_kind::running:
+        return "running";
+    case requests::claim_kind::finished:
+        return "finished";
+    case requests::claim_kind::inconclusive:
+        return "inconclusive";
+    }
+    return "inconclusive";
+}
+
 json resources_json(const teams::resources& amounts)
 {
     return {{"processors", amounts.processors},
@@ -47,18 +65,6 @@
             source.at("accelerators").get<std::int64_t>(), source.at("slots").get<std::int64_t>()};
 }
 
-/// Parses a text and hands it to `read`; any mismatch becomes one error.
-template <typename T, typename Read>
-common::result<T> read_message(const std::string& step, const std::string& text,
-                               const std::string& peer, Read read)
-{
-    try {
-        return read(json::parse(text));
-    } catch (const json::exception& failure) {
-        return make_error(errc::bad_message, step, peer, failure.what());
-    }
-}
-
 } // namespace
 
 json to_json(const start_order& order)
@@ -96,14 +102,68 @@
                          {"attempt", each.attempt},
                          {"node", each.node},
                          {"team", each.team},
-                         {"need", resources_json(each.need)}});
+                         {"need", resources_json(each.need)},
+                         {"lease_left_ms", each.lease_left.count()}});
     }
     return {{"epoch", usage.epoch}, {"draining", usage.draining}, {"tasks", tasks}};
 }
 
+json to_json(const claim_reply& reply)
+{
+    json body = {{"state", claim_name(reply.kind)},
+                 {"epoch", reply.epoch},
+                 {"attempt", reply.attempt},
+                 {"succeeded", reply.succeeded},
+                 {"output", reply.output},
+                 {"team", reply.team},
+                 {"queue", reply.queue}};
+    if (reply.forgot_before) {
+        body["forgot_before_ms"] = reply.forgot_before->count();
+    }
+    return body;
+}
+
+common::result<claim_reply> parse_claim_reply(const std::string& text, const std::string& peer)
+{
+    return common::read_json<claim_reply>("read claim reply", text, peer, [](const json& source) {
+        claim_reply reply;
+        const auto state = source.at("state").get<std::string>();
+        reply.kind = state == "free"       ? requests::claim_kind::free
+                     : state == "running"  ? requests::claim_kind::running
+                     : state == "finished" ? requests::claim_kind::finished
+                                           : requests::claim_kind::inconclusive;
+        reply.epoch = source.at("epoch").get<std::string>();
+        reply.attempt = source.at("attempt").get<int>();
+        reply.succeeded = source.at("succeeded").get<bool>();
+        reply.output = source.at("output").get<std::string>();
+        reply.team = source.at("team").get<std::string>();
+        reply.queue = source.at("queue").get<std::string>();
+        if (source.contains("forgot_before_ms")) {
+            reply.forgot_before =
+                common::milliseconds(source.at("forgot_before_ms").get<std::int64_t>());
+        }
+        return reply;
+    });
+}
+
+requests::claim_replied claim_for_node(const claim_reply& reply, const std::string& task,
+                                       const std::string& worker, common::milliseconds memory)
+{
+    requests::claim_replied known;
+    known.attempt = {task, reply.attempt, worker, reply.epoch};
+    known.kind = reply.kind;
+    known.succeeded = reply.succeeded;
+    known.output = reply.output;
+    const bool forgot = reply.forgot_before && *reply.forgot_before < memory;
+    if (reply.kind == requests::claim_kind::free && forgot) {
+        known.kind = requests::claim_kind::inconclusive;
+    }
+    return known;
+}
+
 common::result<start_order> parse_start_order(const std::string& text, const std::string& peer)
 {
-    return read_message<start_order>("read start order", text, peer, [](const json& source) {
+    return common::read_json<start_order>("read start order", text, peer, [](const json& source) {
         start_order order;
         order.attempt = {source.at("task").get<std::string>(), source.at("attempt").get<int>(),
                          source.at("worker").get<std::string>(),
@@ -124,7 +184,7 @@
 
 common::result<usage_snapshot> parse_usage(const std::string& text, const std::string& peer)
 {
-    return read_message<usage_snapshot>("read usage", text, peer, [](const json& source) {
+    return common::read_json<usage_snapshot>("read usage", text, peer, [](const json& source) {
         usage_snapshot usage;
         usage.epoch = source.at("epoch").get<std::string>();
         usage.draining = source.at("draining").get<bool>();
@@ -132,7 +192,8 @@
             usage.tasks.push_back(
                 {each.at("task").get<std::string>(), each.at("request").get<std::string>(),
                  each.at("attempt").get<int>(), each.at("node").get<std::string>(),
-                 each.at("team").get<std::string>(), parse_resources(each.at("need"))});
+                 each.at("team").get<std::string>(), parse_resources(each.at("need")),
+                 common::milliseconds(each.at("lease_left_ms").get<std::int64_t>())});
         }
         return usage;
     });
@@ -154,21 +215,20 @@
                           source.at("output").get<std::string>(),
                           common::milliseconds(source.at("run_ms").get<std::int64_t>())};
     };
-    try {
-        return read(json::parse(text));
-    } catch (const json::exception& failure) {
-        return make_error(errc::bad_message, "read task reply", attempt.worker, failure.what());
-    }
+    return common::read_json<task_reply>("read task reply", text, attempt.worker, read);
 }
 
 routing::usage_report report_for_node(const usage_snapshot& usage, const std::string& node)
 {
-    routing::usage_report report{usage.epoch, {}, usage.draining, {}};
+    routing::usage_report report{usage.epoch, {}, usage.draining, {}, {}};
     for (const running_task& each : usage.tasks) {
+        const routing::reported_task task{each.task, each.team, each.need, each.node,
+                                          each.lease_left};
         if (each.node == node) {
-            report.own.push_back({each.task, each.team, each.need});
+            report.own.push_back(task);
         } else {
             report.by_others += each.need;
+            report.others.push_back(task);
         }
     }
     return report;
--- a/src/workers/protocol.h
+++ b/src/workers/protocol.h
@@ -43,6 +43,7 @@
     std::string node; ///< that started it
     std::string team;
     teams::resources need;
+    common::milliseconds lease_left{0};
 
     friend bool operator==(const running_task&, const running_task&) = default;
 };
@@ -56,15 +57,38 @@
     friend bool operator==(const usage_snapshot&, const usage_snapshot&) = default;
 };
 
+/// What a worker answers to a claim, or to the question what it knows of a task.
+struct claim_reply {
+    requests::claim_kind kind = requests::claim_kind::inconclusive;
+    std::string epoch;
+    int attempt = 0; ///< of the run that it knows; 0 for none
+    bool succeeded = false;
+    std::string output;
+    std::string team;
+    std::string queue;
+    std::optional<common::milliseconds> forgot_before; ///< how long ago it last lost its memory
+
+    friend bool operator==(const claim_reply&, const claim_reply&) = default;
+};
+
 /// Conversions to JSON. Thread safe.
 nlohmann::json to_json(const start_order& order);
 nlohmann::json to_json(const requests::attempt_id& attempt, const task_reply& reply);
 nlohmann::json to_json(const usage_snapshot& usage);
+nlohmann::json to_json(const claim_reply& reply);
 
 /// Conversions from JSON. Thread safe. Errors: `bad_message` with the field in `detail`.
 common::result<start_order> parse_start_order(const std::string& text, const std::string& peer);
 common::result<usage_snapshot> parse_usage(const std::string& text, const std::string& peer);
 
+/// Reads the answer to a claim. Thread safe. Errors: `bad_message`.
+common::result<claim_reply> parse_claim_reply(const std::string& text, const std::string& peer);
+
+/// Returns what a reply means to a node that must know of every run in the last `memory`.
+/// Thread safe.
+requests::claim_replied claim_for_node(const claim_reply& reply, const std::string& task,
+                                       const std::string& worker, common::milliseconds memory);
+
 /// Reads a reply and checks that it belongs to `attempt`. Thread safe.
 /// Errors: `bad_message` when it is cut short, or names another attempt.
 common::result<task_reply> parse_task_reply(const std::string& text,
