Drive claims, takeover, cut-off zones and membership in the soak

Cause: the new paths between nodes ran in no soak. Change: a worker out of reach is left alone for 500 ms; an unanswered claim is asked again for 6 s; a node that sees a gap in its own time trusts no home. New check key_runs_once, fired by skip_claims.

--- /dev/null
+++ b/src/membership/tests/messages_tests.cpp
@@ -0,0 +1,142 @@
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include "common/random.h"
+#include "membership/peer_network.h"
+
+namespace {
+
+using namespace chervilslip;
+using namespace chervilslip::membership;
+
+const member sender{"a", "north", "127.0.0.1:1", 7};
+
+Test(messages, every_message_comes_back_as_it_was)
+{
+    // given
+    const std::vector<message> all{
+        hello{message_version, sender, "nonce"},
+        proof{"code"},
+        heartbeat{12, "change", {{"red", {1, 2, 3, 4}}}},
+        relay_call{9, "POST", "/v1/x", "Bearer k", "key", "body"},
+        relay_answer{9, 200, "body"},
+        settings_wanted{},
+        settings_given{"manifest", {{"hash", "text"}}},
+    };
+
+    for (const message& each : all) {
+        // when
+        const auto decoded = decode(encode(each), "peer");
+
+        // then
+        cr_assert(decoded.has_value() && decoded.value() == each);
+    }
+}
+
+Test(messages, broken_bytes_are_errors_and_never_messages_of_another_kind)
+{
+    // given
+    const std::string whole = encode(relay_call{9, "POST", "/v1/x", "Bearer k", "key", "body"});
+    common::random_source random(3);
+
+    for (int i = 0; i < 2000; ++i) {
+        // when
+        std::string broken = whole.substr(0, random.below(whole.size()));
+        const auto decoded = decode(broken, "peer");
+
+        // then
+        cr_assert_not(decoded.has_value());
+    }
+}
+
+/// Two networks on loopback, run until `done` or for at most two seconds.
+struct pair_of_nodes {
+    explicit pair_of_nodes(const std::string& second_secret)
+        : one(this->context, {"one", "z", "127.0.0.1:28701", 1}, "first secret", this->hooks()),
+          two(this->context, {"two", "z", "127.0.0.1:28702", 1}, second_secret, this->hooks())
+    {
+        cr_assert(this->one.listen().has_value() && this->two.listen().has_value());
+        this->one.connect_to({"127.0.0.1", 28702});
+    }
+
+    network_hooks hooks()
+    {
+        return {[this](const member&, const message& value, const answer_sender&) {
+                    this->received.push_back(value);
+                    this->context.stop();
+                },
+                [this](const member& peer) {
+                    this->connected.push_back(peer.name);
+                    this->one.send("two", heartbeat{5, "c", {}});
+                },
+                [](const member&) {},
+                [this](const common::error& cause) {
+                    this->refused.push_back(cause);
+                    this->context.stop();
+                }};
+    }
+
+    void run()
+    {
+        this->context.run_for(std::chrono::seconds(2));
+        this->one.close();
+        this->two.close();
+    }
+
+    boost::asio::io_context context;
+    std::vector<message> received;
+    std::vector<std::string> connected;
+    std::vector<common::error> refused;
+    peer_network one;
+    peer_network two;
+};
+
+Test(peer_network, nodes_with_the_same_secret_talk)
+{
+    // given
+    pair_of_nodes nodes("first secret");
+
+    // when
+    nodes.run();
+
+    // then
+    cr_assert(nodes.received.size() == 1);
+    cr_assert(std::get<heartbeat>(nodes.received.front()).settings_number == 5);
+}
+
+Test(peer_network, node_with_another_secret_is_refused)
+{
+    // given
+    pair_of_nodes nodes("second secret");
+
+    // when
+    nodes.run();
+
+    // then
+    cr_assert(nodes.received.empty() && nodes.connected.empty());
+    cr_assert(nodes.refused.front().code == common::errc::refused);
+}
+
+Test(peer_network, frame_larger_than_a_greeting_is_refused_before_the_proof)
+{
+    // given
+    pair_of_nodes nodes("first secret");
+    boost::asio::ip::tcp::socket socket(nodes.context);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), 28702});
+
+    // when a stranger announces a frame of 16 MB
+    const std::string header("\x01\x00\x00\x00", 4);
+    boost::asio::write(socket, boost::asio::buffer(header));
+    while (nodes.refused.empty() && nodes.context.run_one_for(std::chrono::seconds(2)) > 0) {
+    }
+
+    // then
+    cr_assert(nodes.refused.front().code == common::errc::too_large);
+    nodes.one.close();
+    nodes.two.close();
+}
+
+} // namespace
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -132,7 +132,9 @@
 bool view::was_always_home(const std::string& key, const std::vector<std::string>& zones,
                            common::steady_time now) const
 {
-    if (now - this->made_at < this->options.memory_time || highest(key, zones) != this->self.zone) {
+    const bool just_paused = now - this->last_tick > this->options.suspect_time;
+    if (just_paused || now - this->made_at < this->options.memory_time ||
+        highest(key, zones) != this->self.zone) {
         return false;
     }
     return std::all_of(this->zone_history.begin(), this->zone_history.end(),
--- a/src/requests/engine.h
+++ b/src/requests/engine.h
@@ -25,6 +25,7 @@
     claim_not_run,
     ignore_slots,
     skip_stage,
+    skip_claims,
 };
 
 /// How one node's engine behaves.
@@ -39,11 +40,13 @@
     common::milliseconds repeatable_patience{1000}; ///< then a repeatable task goes elsewhere
     common::milliseconds first_query_delay{50};     ///< after a lost reply; doubles
     common::milliseconds longest_query_delay{1000};
-    common::milliseconds full_pause{25};    ///< an upstream without room is left alone so long
+    common::milliseconds full_pause{25}; ///< an upstream without room is left alone so long
+    common::milliseconds unreachable_pause{500};
     common::milliseconds retention{600000}; ///< how long an answer can be fetched
     std::size_t most_records = 50000;
     int most_attempts = 3;
-    common::milliseconds claim_time{2000};
+    common::milliseconds claim_time{6000}; ///< then an upstream that was not reached stays unknown
+    common::milliseconds claim_retry_delay{300};
     common::milliseconds claim_memory{900000}; ///< how long a key stands for one run
     planted_fault fault = planted_fault::none;
 };
@@ -114,7 +117,7 @@
     [[nodiscard]] std::shared_ptr<const settings::snapshot> in_force() const;
 
 private:
-    enum class timer_kind { queue_deadline, query, claim, forget, release_orphan };
+    enum class timer_kind { queue_deadline, query, claim, claim_again, forget, release_orphan };
 
     struct timer {
         timer_kind kind;
@@ -174,6 +177,7 @@
 
     // Claims: what other nodes may have started under an idempotency key.
     void claim(record& each);
+    void claim_again(record& each);
     void after_claims(record& each);
     void adopt(record& each, const attempt_id& run);
     void enqueue(record& each);
--- a/src/requests/engine_admission.h
+++ b/src/requests/engine_admission.h
@@ -43,7 +43,7 @@
     }
     this->budget.add_request();
     this->id_of_task[each.task] = wanted.id;
-    if (wanted.must_claim) {
+    if (wanted.must_claim && this->options.fault != planted_fault::skip_claims) {
         this->claim(each);
         return;
     }
@@ -415,6 +415,11 @@
             this->after_claims(each);
         }
         break;
+    case timer_kind::claim_again:
+        if (each.at == stage::claiming) {
+            this->claim_again(each);
+        }
+        break;
     case timer_kind::query:
         if (each.at == stage::resolving) {
             this->query_again(each);
--- a/src/requests/engine_attempts.h
+++ b/src/requests/engine_attempts.h
@@ -141,6 +141,8 @@
         break;
     case reply_kind::not_sent:
         each.avoid.insert(worker);
+        // Without a pause, requests would try a zone that is cut off over and over.
+        this->view.mark_full(worker, this->now + this->options.unreachable_pause);
         break;
     case reply_kind::full:
     case reply_kind::not_started:
--- a/src/requests/engine_claims.h
+++ b/src/requests/engine_claims.h
@@ -47,11 +47,21 @@
         return;
     }
     record& each = this->records.at(id->second);
-    if (each.at != stage::claiming || each.unclaimed.erase(reply.attempt.worker) == 0) {
+    if (each.at != stage::claiming || !each.unclaimed.contains(reply.attempt.worker)) {
         return;
     }
+    if (reply.kind == claim_kind::unreachable) {
+        if (each.claim_again.empty()) {
+            this->set_timer(this->now + this->options.claim_retry_delay, timer_kind::claim_again,
+                            each.request.id);
+        }
+        each.claim_again.insert(reply.attempt.worker);
+        return;
+    }
+    each.unclaimed.erase(reply.attempt.worker);
     switch (reply.kind) {
     case claim_kind::free:
+    case claim_kind::unreachable:
         break;
     case claim_kind::inconclusive:
         each.inconclusive = reply.attempt.worker;
@@ -74,6 +84,14 @@
     }
 }
 
+template <teams::limit_guard_type Guard>
+void engine<Guard>::claim_again(record& each)
+{
+    for (const std::string& vm : std::exchange(each.claim_again, {})) {
+        this->pending.push_back(claim_task{each.task, vm, this->view.address_of(vm)});
+    }
+}
+
 template <teams::limit_guard_type Guard>
 void engine<Guard>::adopt(record& each, const attempt_id& run)
 {
--- a/src/requests/messages.h
+++ b/src/requests/messages.h
@@ -128,13 +128,14 @@
     free,         ///< it has never run there, and only this node may start it from now on
     running,      ///< it runs there
     finished,     ///< it ran there; `succeeded` and `output` tell how it ended
-    inconclusive, ///< the upstream was not reached, or has forgotten what it ran
+    inconclusive, ///< the upstream has forgotten what it ran, or obeys a later claim
+    unreachable,  ///< no reply came
 };
 
 /// The reply to a claim.
 struct claim_replied {
     attempt_id attempt; ///< of the run that the upstream knows; the number is 0 when it knows none
-    claim_kind kind = claim_kind::inconclusive;
+    claim_kind kind = claim_kind::unreachable;
     bool succeeded = false;
     std::string output;
 
--- a/src/requests/record.h
+++ b/src/requests/record.h
@@ -49,9 +49,10 @@
     bool counted = false; ///< holds a right of its team's limit, and room on an upstream
     bool cancel_wanted = false;
     std::optional<answer> result;
-    std::set<std::string> unclaimed; ///< upstreams whose reply to the claim is missing
-    std::string inconclusive;        ///< an upstream that may have run the task, and cannot say
-    std::vector<std::string> joined; ///< requests with the same idempotency key
+    std::set<std::string> unclaimed;   ///< upstreams whose reply to the claim is missing
+    std::set<std::string> claim_again; ///< of those, the ones to ask again
+    std::string inconclusive;          ///< an upstream that may have run the task, and cannot say
+    std::vector<std::string> joined;   ///< requests with the same idempotency key
 };
 
 /// Returns the team that a request counts for, or why it has none: on an open queue without a key
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -20,6 +20,7 @@
         {"claim_not_run", fault::claim_not_run},
         {"ignore_slots", fault::ignore_slots},
         {"skip_stage", fault::skip_stage},
+        {"skip_claims", fault::skip_claims},
     };
     return faults;
 }
@@ -33,7 +34,9 @@
     for (const auto& [fate, count] : report.fates) {
         std::cout << "fate " << fate << ": " << count << "\n";
     }
-    std::cout << "starts: " << report.starts << "\n";
+    std::cout << "starts: " << report.starts << ", keyed requests that claimed: " << report.claims
+              << ", found running: " << report.adopted
+              << ", tasks taken over: " << report.taken_over << "\n";
     for (const std::string& line : report.followed) {
         std::cout << "followed " << line << "\n";
     }
--- a/src/soak/world.h
+++ b/src/soak/world.h
@@ -4,6 +4,7 @@
 #include <queue>
 
 #include "fakes/worker_model.h"
+#include "membership/view.h"
 #include "requests/engine.h"
 #include "teams/authenticator.h"
 
@@ -35,6 +36,9 @@
     std::vector<std::string> followed;
     std::map<std::string, std::uint64_t> fates;
     std::uint64_t starts = 0;
+    std::uint64_t claims = 0;     ///< keyed requests that asked the workers first
+    std::uint64_t adopted = 0;    ///< of those, found running
+    std::uint64_t taken_over = 0; ///< tasks whose node was gone
 };
 
 /// The nodes, workers, callers and the network between them. Not thread safe.
@@ -69,6 +73,7 @@
         std::unique_ptr<common::random_source> random;
         std::unique_ptr<common::invariant_monitor> invariants;
         std::unique_ptr<requests::node_engine> engine;
+        std::unique_ptr<membership::view> view;
         common::steady_time paused_until;
         bool up = false;
     };
@@ -110,14 +115,22 @@
                           common::steady_time until);
     void lose(std::size_t index, int incarnation, const requests::attempt_id& attempt,
               bool was_query, requests::reply_kind kind);
+    void send_claim(std::size_t index, const requests::claim_task& wanted);
+    void send_adopt(std::size_t index, const requests::adopt_task& wanted);
+    void beat(std::size_t index, int incarnation);
     [[nodiscard]] common::milliseconds latency();
     [[nodiscard]] bool is_cut(std::size_t index, const std::string& vm) const;
+    [[nodiscard]] bool are_cut(std::size_t left, std::size_t right) const;
+    [[nodiscard]] bool is_zone_cut(const std::string& zone) const;
+    [[nodiscard]] bool is_unreachable(std::size_t index, const std::string& vm) const;
 
     // Callers, operators and faults.
     void make_settings();
     void publish_settings();
     void hand_in();
-    void hand_in_again(const request_truth& first);
+    void send_request(std::size_t index, requests::submitted wanted);
+    void relay(std::size_t index, const std::string& home, requests::submitted wanted);
+    void settle_truth(const std::string& id, requests::fate result);
     void take_answer(const requests::give_answer& given);
     void cancel_some();
     void change_keys();
@@ -138,9 +151,11 @@
     std::vector<node_state> nodes;
     std::map<std::string, std::unique_ptr<fakes::worker_model>> workers;
     std::map<std::string, std::string> zone_of_worker;
+    std::vector<std::string> zone_names;
     std::set<std::string> leaving;
     std::map<std::string, common::steady_time> worker_down_until;
     std::map<std::pair<std::size_t, std::string>, common::steady_time> cut_until;
+    std::map<std::string, common::steady_time> zone_cut_until;
     std::shared_ptr<const settings::snapshot> in_force;
     std::map<std::string, std::vector<std::string>> secrets; ///< by team: presented keys
     std::map<std::string, std::int64_t> highest_limit;       ///< by team, over the run
--- a/src/workers/protocol.cpp
+++ b/src/workers/protocol.cpp
@@ -46,7 +46,8 @@
     case requests::claim_kind::finished:
         return "finished";
     case requests::claim_kind::inconclusive:
-        return "inconclusive";
+    case requests::claim_kind::unreachable:
+        break;
     }
     return "inconclusive";
 }
