--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -37,6 +37,7 @@
         key_id, brigade_key = self.system.issue_key("fire-brigades")
         _, desk_key = self.system.issue_key("broadcast-desk")
         self.show_answers(brigade_key, desk_key)
+        self.show_many_nodes(brigade_key)
         self.show_refusals(brigade_key)
         self.show_withdrawal(key_id, brigade_key)
         code, output = self.system.ctl("audit", "/teams/fire-brigades")
@@ -66,6 +67,28 @@
         self.check("an answer is fetched later by its id",
                    status == 202 and shown == 200 and later["fate"] == "done", later)
 
+    def show_many_nodes(self, key):
+        answers = []
+        for node in range(len(self.system.nodes)):
+            headers = {"Authorization": f"Bearer {key}", "Idempotency-Key": "permit-4711"}
+            answers.append(call(self.system.nodes[node]["listen"], "POST",
+                                "/v1/queues/emergency-permits/requests",
+                                {"body": {"run_ms": 80, "nonce": "permit-4711"}}, headers))
+        starts = sum(entry["body"].count("permit-4711")
+                     for index in range(len(self.system.fleet["vms"]))
+                     for entry in call(self.system.worker(index), "GET", "/v1/log")[1]["starts"])
+        outputs = {answer.get("output") for _, answer in answers}
+        self.check("one idempotency key at three nodes runs once and gives one answer",
+                   starts == 1 and len(outputs) == 1 and None not in outputs,
+                   f"{starts} start, {len(outputs)} output")
+        _, handed_in = self.request(0, "emergency-permits", key, wait_ms=0,
+                                    body={"run_ms": 200})
+        status, answer = call(self.system.nodes[1]["listen"], "GET",
+                              f"/v1/requests/{handed_in['request']}?wait_ms=5000",
+                              headers={"Authorization": f"Bearer {key}"})
+        self.check("an answer is fetched at another node",
+                   status == 200 and answer["fate"] == "done", answer)
+
     def show_refusals(self, brigade_key):
         status, answer = self.request(1, "emergency-permits", "fire-brigades.k0.wrong")
         self.check("a wrong key is refused and nothing runs",
--- a/scripts/system.py
+++ b/scripts/system.py
@@ -46,6 +46,11 @@
         self.daemons = {}
         os.makedirs(log_directory, exist_ok=True)
 
+    def use_fleet(self, fleet_file):
+        """Takes another fake fleet than the example's. Call before `start`."""
+        self.fleet_file = fleet_file
+        self.fleet = {"address": "127.0.0.1", **read_commented_json(fleet_file)}
+
     def start(self):
         self.platform = self._spawn("platform", ["chervilslip-fake", "--fleet", self.fleet_file])
         self._await(lambda: call(self.store, "GET", "/fake")[0] == 200, "the fake platform")
