Let workers report their use when it changes; split the large files

Change: the call for a worker's use names the version seen and is answered on a change, after 4 s while tasks run (a lease's end must be seen), or after 60 s. Files split by duty, no logic changed. Conclusion: control traffic follows change, not the size of the fleet, while the fleet is idle.

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -94,6 +94,13 @@
                 headers={"Authorization": f"Bearer {TOKEN}"})[1]["peer_bytes_sent"]
 
 
+def loopback_bytes():
+    """All bytes on loopback, with the headers of TCP and IP; nothing else must use it meanwhile."""
+    with open("/proc/net/dev", encoding="utf-8") as file:
+        line = next(line for line in file if line.strip().startswith("lo:"))
+    return int(line.split(":")[1].split()[0])
+
+
 def store_calls(system):
     return sum(call(system.store, "GET", "/fake")[1]["calls"].values())
 
@@ -113,10 +120,10 @@
         time.sleep(SETTLE_SECONDS)
         pids = [daemon.pid for daemon in system.daemons.values()]
         before = (sum(map(processor_seconds, pids)), sum(map(peer_bytes, system.nodes)),
-                  store_calls(system))
+                  store_calls(system), loopback_bytes())
         time.sleep(MEASURE_SECONDS)
         after = (sum(map(processor_seconds, pids)), sum(map(peer_bytes, system.nodes)),
-                 store_calls(system))
+                 store_calls(system), loopback_bytes())
         per_node = [(late - early) / MEASURE_SECONDS / nodes
                     for early, late in zip(before, after)]
         begin = time.monotonic()
@@ -126,16 +133,17 @@
             raise RuntimeError(output[-500:])
         print(f"| {name} | {workers} | {pools} | {teams} | {nodes} | {100 * per_node[0]:.1f} | "
               f"{max(map(resident_mb, pids)):.0f} | {per_node[1] / 1024:.2f} | "
-              f"{per_node[2]:.2f} | {apply_seconds:.1f} | {change_seconds:.2f} |", flush=True)
+              f"{per_node[3] / 1024:.0f} | {per_node[2]:.2f} | {apply_seconds:.1f} | {change_seconds:.2f} |", flush=True)
         system.stop()
     finally:
         system.kill()
 
 
 def main():
-    print("| size | workers | pools | teams | nodes | % of a core | MB | peer KB/s | store calls/s "
+    print("| size | workers | pools | teams | nodes | % of a core | MB | peer KB/s "
+          "| all KB/s with headers | store calls/s "
           "| first apply, s | one change in force everywhere, s |")
-    print("| --- " * 11 + "|")
+    print("| --- " * 12 + "|")
     wanted = sys.argv[1:]
     for size in SIZES:
         if not wanted or size[0] in wanted:
--- a/src/daemon/worker_client.cpp
+++ b/src/daemon/worker_client.cpp
@@ -8,6 +8,8 @@
 
 constexpr common::milliseconds hold_time{4000};
 constexpr common::milliseconds answer_time{2000};
+constexpr common::milliseconds busy_usage_hold{4000}; ///< a lease's end must be seen in time
+constexpr common::milliseconds idle_usage_hold{60000};
 constexpr std::size_t idle_connections_per_worker = 4;
 constexpr std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
 constexpr unsigned status_ok = 200;
@@ -179,24 +181,45 @@
 void worker_client::poll_usage(const std::string& vm, const std::string& address)
 {
     const auto peer = net::parse_endpoint(address);
-    if (!peer) {
+    usage_state& state = this->usage_of[vm];
+    if (!peer || state.asking) {
         return;
     }
+    if (state.address != address) {
+        state = {address, 0, false, false};
+    }
+    state.asking = true;
+    const auto hold = state.seen_version == 0 ? common::milliseconds{0}
+                      : state.idle            ? idle_usage_hold
+                                              : busy_usage_hold;
     net::http_request request;
     request.method = "GET";
     request.target =
-        "/v1/usage?node=" + this->node + "&incarnation=" + std::to_string(this->incarnation);
-    this->client.call(
-        *peer, std::move(request), answer_time,
-        [this, vm](common::result<net::http_response> answer) {
-            if (!answer || answer.value().status != status_ok) {
-                return;
-            }
-            const auto usage = workers::parse_usage(answer.value().body, vm);
-            if (usage) {
-                this->on_usage({vm, workers::report_for_node(usage.value(), this->node)});
-            }
-        });
+        "/v1/usage?node=" + this->node + "&incarnation=" + std::to_string(this->incarnation) +
+        "&seen=" + std::to_string(state.seen_version) + "&hold_ms=" + std::to_string(hold.count());
+    this->client.call(*peer, std::move(request), hold + answer_time,
+                      [this, vm](const common::result<net::http_response>& answer) {
+                          this->take_usage(vm, answer);
+                      });
+}
+
+void worker_client::take_usage(const std::string& vm,
+                               const common::result<net::http_response>& answer)
+{
+    usage_state& state = this->usage_of[vm];
+    state.asking = false;
+    if (!answer || answer.value().status != status_ok) {
+        state.seen_version = 0;
+        return;
+    }
+    const auto usage = workers::parse_usage(answer.value().body, vm);
+    if (!usage) {
+        state.seen_version = 0;
+        return;
+    }
+    state.seen_version = usage.value().version;
+    state.idle = usage.value().tasks.empty();
+    this->on_usage({vm, workers::report_for_node(usage.value(), this->node)});
 }
 
 } // namespace chervilslip::daemon
--- a/src/daemon/worker_client.h
+++ b/src/daemon/worker_client.h
@@ -36,17 +36,28 @@
     void show(const std::string& task, const std::string& vm, const std::string& address,
               std::function<void(common::result<workers::claim_reply>)> handler);
 
-    /// Asks a worker for its use.
+    /// Asks a worker for its use, unless it is being asked. The worker answers when its use
+    /// changes, or after a while, which is longer for a worker that runs nothing.
     void poll_usage(const std::string& vm, const std::string& address);
 
 private:
+    void take_usage(const std::string& vm, const common::result<net::http_response>& answer);
     void ask(const std::string& target, const std::string& vm, const std::string& address,
              std::function<void(common::result<workers::claim_reply>)> handler);
     void call(const requests::attempt_id& attempt, const std::string& address,
               net::http_request request, bool is_query);
 
+    /// What was last heard of a worker's use.
+    struct usage_state {
+        std::string address;
+        std::int64_t seen_version = 0;
+        bool idle = false;
+        bool asking = false;
+    };
+
     std::string node;
     std::int64_t incarnation;
+    std::map<std::string, usage_state> usage_of; ///< by VM
     reply_handler on_reply;
     claim_handler on_claim;
     usage_handler on_usage;
--- a/src/fakes/fake_worker.cpp
+++ b/src/fakes/fake_worker.cpp
@@ -56,6 +56,7 @@
 void fake_worker::close()
 {
     this->waiting.clear();
+    this->waiting_for_change.clear();
     this->server.stop_accepting();
     this->server.close_all();
 }
@@ -69,6 +70,8 @@
 {
     const auto now = this->clock.steady_now();
     this->model.advance(now);
+    std::erase_if(this->waiting_for_change,
+                  [this, now](const waiting_usage& call) { return this->answer_usage(call, now); });
     std::erase_if(this->waiting, [this, now](const waiting_call& call) {
         const auto lease_left = call.lease;
         const task_reply reply = this->model.query(call.attempt, lease_left, now);
@@ -99,11 +102,36 @@
         this->handle_start(request, std::move(exchange));
     } else if (is_task && segments.size() == 4) {
         this->handle_task(request, segments, std::move(exchange));
+    } else if (request.path() == "/v1/usage") {
+        this->handle_usage(request, std::move(exchange));
     } else {
         exchange->respond(this->handle_other(request));
     }
 }
 
+void fake_worker::handle_usage(const net::http_request& request,
+                               std::shared_ptr<net::http_exchange> exchange)
+{
+    const auto now = this->clock.steady_now();
+    const waiting_usage call{request.query("node"),
+                             std::atoll(request.query("incarnation").c_str()),
+                             std::atoll(request.query("seen").c_str()),
+                             now + milliseconds_parameter(request, "hold_ms"), exchange};
+    if (!this->answer_usage(call, now)) {
+        this->waiting_for_change.push_back(call);
+    }
+}
+
+bool fake_worker::answer_usage(const waiting_usage& call, common::steady_time now)
+{
+    const auto usage = this->model.usage(call.node, call.incarnation, now);
+    if (usage.version == call.seen_version && now < call.until) {
+        return false;
+    }
+    this->gate.send(call.exchange, net::json_response(200, workers::to_json(usage)));
+    return true;
+}
+
 void fake_worker::handle_start(const net::http_request& request,
                                std::shared_ptr<net::http_exchange> exchange)
 {
@@ -171,12 +199,6 @@
 net::http_response fake_worker::handle_other(const net::http_request& request)
 {
     const std::string path = request.path();
-    if (path == "/v1/usage") {
-        const auto usage = this->model.usage(request.query("node"),
-                                             std::atoll(request.query("incarnation").c_str()),
-                                             this->clock.steady_now());
-        return net::json_response(200, workers::to_json(usage));
-    }
     if (path == "/v1/log") {
         json entries = json::array();
         for (const start_entry& entry : this->model.log()) {
--- a/src/fakes/fake_worker.h
+++ b/src/fakes/fake_worker.h
@@ -33,6 +33,18 @@
         std::shared_ptr<net::http_exchange> exchange;
     };
 
+    /// A call for the worker's use that waits for a change.
+    struct waiting_usage {
+        std::string node;
+        std::int64_t incarnation = 0;
+        std::int64_t seen_version = 0;
+        common::steady_time until;
+        std::shared_ptr<net::http_exchange> exchange;
+    };
+
+    bool answer_usage(const waiting_usage& call, common::steady_time now);
+    void handle_usage(const net::http_request& request,
+                      std::shared_ptr<net::http_exchange> exchange);
     void handle(const net::http_request& request, std::shared_ptr<net::http_exchange> exchange);
     void handle_start(const net::http_request& request,
                       std::shared_ptr<net::http_exchange> exchange);
@@ -47,6 +59,7 @@
     worker_model model;
     net::http_server server;
     std::list<waiting_call> waiting;
+    std::list<waiting_usage> waiting_for_change;
 };
 
 } // namespace chervilslip::fakes
--- a/src/fakes/worker_model.cpp
+++ b/src/fakes/worker_model.cpp
@@ -72,6 +72,7 @@
         return {reply_kind::full, false, {}, {}};
     }
     this->used += order.need;
+    ++this->version;
     task& each = this->tasks[order.attempt.task];
     each = {};
     each.order = order;
@@ -139,6 +140,7 @@
         return false;
     }
     known->second.order.node = node;
+    ++this->version;
     known->second.lease_until = now + lease;
     return true;
 }
@@ -200,6 +202,7 @@
     each.output = std::move(output);
     each.ended = now;
     this->used -= each.order.need;
+    ++this->version;
 }
 
 void worker_model::advance(common::steady_time now)
@@ -228,16 +231,19 @@
 
 void worker_model::drain()
 {
+    ++this->version;
     this->draining = true;
 }
 
 void worker_model::undrain()
 {
+    ++this->version;
     this->draining = false;
 }
 
 void worker_model::reboot(common::steady_time now)
 {
+    ++this->version;
     this->forgot_at = now;
     this->claims.clear();
     ++this->epoch_number;
@@ -260,7 +266,7 @@
     }
     const bool stale = !this->reported_at || now - *this->reported_at >= this->switches.usage_lag;
     if (stale) {
-        this->reported = {this->epoch_text, this->draining, {}};
+        this->reported = {this->epoch_text, this->version, this->draining, {}};
         for (const auto& [id, each] : this->tasks) {
             if (each.state == task_state::running) {
                 const auto left =
--- a/src/fakes/worker_model.h
+++ b/src/fakes/worker_model.h
@@ -142,6 +142,7 @@
     std::map<std::string, std::int64_t> incarnations; ///< by node, the newest seen
     usage_snapshot reported;
     std::optional<common::steady_time> reported_at;
+    std::int64_t version = 1; ///< counts what changes a report
 };
 
 } // namespace chervilslip::fakes
--- a/src/requests/engine.cpp
+++ b/src/requests/engine.cpp
@@ -4,6 +4,7 @@
 #include "requests/engine_attempts.h"
 #include "requests/engine_claims.h"
 #include "requests/engine_dispatch.h"
+#include "requests/engine_ends.h"
 #include "requests/engine_recovery.h"
 
 namespace chervilslip::requests {
--- /dev/null
+++ b/src/requests/engine_ends.h
@@ -0,0 +1,237 @@
+#pragma once
+
+#include "requests/engine.h"
+
+// How requests end: answers, refusals, cancellations, deadlines, timers.
+namespace chervilslip::requests {
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::refuse(record& each, refusal why, std::string cause)
+{
+    ++this->counts.refused[why];
+    answer whole;
+    whole.result = fate::refused;
+    whole.why_refused = why;
+    whole.cause = std::move(cause);
+    this->end(each, std::move(whole));
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::end(record& each, answer whole)
+{
+    const bool not_run = whole.result == fate::refused;
+    this->invariants.check(
+        common::invariant::not_run_is_true, !not_run || each.open_attempts == 0, [&] {
+            return each.request.id + " is refused with " + std::to_string(each.open_attempts) +
+                   " starts that may have run";
+        });
+    move_to(each, stage::ended, this->invariants);
+    whole.attempts = each.attempts;
+    ++this->counts.ended[whole.result];
+    --this->open_count;
+    each.result = whole;
+    const auto owner = this->id_of_task.find(each.task);
+    if (not_run && owner != this->id_of_task.end() && owner->second == each.request.id) {
+        // A request that was not run may be handed in again under the same idempotency key.
+        this->id_of_task.erase(owner);
+    }
+    this->pending.push_back(give_answer{each.request.id, whole});
+    for (const std::string& id : each.joined) {
+        record& other = this->records.at(id);
+        if (other.at != stage::ended) {
+            move_to(other, stage::ended, this->invariants);
+            other.result = whole;
+            --this->open_count;
+            this->pending.push_back(give_answer{id, whole});
+            this->set_timer(this->now + this->options.retention, timer_kind::forget, id);
+        }
+    }
+    this->set_timer(this->now + this->options.retention, timer_kind::forget, each.request.id);
+    this->ended_order.push_back(each.request.id);
+    this->forget_oldest();
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::forget_oldest()
+{
+    while (this->ended_order.size() > this->options.most_records) {
+        this->fire({timer_kind::forget, this->ended_order.front()});
+        this->ended_order.pop_front();
+    }
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::handle(const cancel_wanted& wanted)
+{
+    const auto found = this->records.find(wanted.id);
+    if (found == this->records.end()) {
+        return;
+    }
+    record& each = found->second;
+    switch (each.at) {
+    case stage::queued:
+        this->drop_from_lines(each);
+        this->end_cancelled_in_queue(each);
+        break;
+    case stage::placed:
+    case stage::started:
+    case stage::resolving:
+        each.cancel_wanted = true;
+        this->pending.push_back(stop_task{*each.attempt, each.address});
+        break;
+    case stage::claiming:
+        each.cancel_wanted = true;
+        break;
+    case stage::received:
+    case stage::authenticated:
+    case stage::ended:
+        break;
+    }
+}
+
+template <teams::limit_guard_type Guard>
+std::vector<std::string> engine<Guard>::queued_requests() const
+{
+    std::vector<std::string> queued;
+    for (const auto& [id, each] : this->records) {
+        if (each.at == stage::queued) {
+            queued.push_back(id);
+        }
+    }
+    // A fixed order, so that the same events always lead to the same actions.
+    std::sort(queued.begin(), queued.end());
+    return queued;
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::refuse_withdrawn()
+{
+    for (const std::string& id : this->queued_requests()) {
+        record& each = this->records.at(id);
+        const bool with_key = !each.who.key_id.empty();
+        const bool queue_gone = !this->settings_in_force->queues.contains(each.request.queue);
+        const bool key_gone = with_key && !teams::is_active(*this->settings_in_force, each.who);
+        if (queue_gone || key_gone) {
+            this->drop_from_lines(each);
+            this->end_without_queue(each);
+        }
+    }
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::handle(const ticked& /*passed*/)
+{
+    while (!this->timers.empty() && this->timers.begin()->first <= this->now) {
+        const timer due = this->timers.begin()->second;
+        this->timers.erase(this->timers.begin());
+        this->fire(due);
+    }
+    this->dispatch_all();
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::handle(const stop_wanted& /*wanted*/)
+{
+    this->stopping = true;
+    for (const std::string& id : this->queued_requests()) {
+        record& each = this->records.at(id);
+        this->drop_from_lines(each);
+        if (each.open_attempts == 0 && each.failed_attempts == 0) {
+            this->refuse(each, refusal::stopping, "this node stopped before a start");
+        } else {
+            this->end_in_queue(each);
+        }
+    }
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::set_timer(common::steady_time at, timer_kind kind, const std::string& id)
+{
+    this->timers.emplace(at, timer{kind, id});
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::fire(const timer& due)
+{
+    if (due.kind == timer_kind::release_orphan) {
+        const auto found = this->orphans.find(due.id);
+        this->guard.release(found->second.team);
+        this->shares.remove_running(found->second.team, found->second.need);
+        this->view.remove_own(found->second.worker, found->second.need);
+        this->orphans.erase(found);
+        return;
+    }
+    const auto found = this->records.find(due.id);
+    if (found == this->records.end()) {
+        return;
+    }
+    record& each = found->second;
+    switch (due.kind) {
+    case timer_kind::queue_deadline:
+        if (each.at == stage::queued && this->now >= each.deadline) {
+            this->drop_from_lines(each);
+            this->end_in_queue(each);
+        }
+        break;
+    case timer_kind::claim:
+        if (each.at == stage::claiming) {
+            this->after_claims(each);
+        }
+        break;
+    case timer_kind::claim_again:
+        if (each.at == stage::claiming) {
+            this->claim_again(each);
+        }
+        break;
+    case timer_kind::query:
+        if (each.at == stage::resolving) {
+            this->query_again(each);
+        }
+        break;
+    case timer_kind::forget:
+        if (each.at == stage::ended) {
+            const auto owner = this->id_of_task.find(each.task);
+            if (owner != this->id_of_task.end() && owner->second == due.id) {
+                this->id_of_task.erase(owner);
+            }
+            this->records.erase(found);
+        }
+        break;
+    case timer_kind::release_orphan:
+        break;
+    }
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::drop_from_lines(const record& each)
+{
+    this->lines[each.line].drop(each.who.team, each.request.id);
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::end_cancelled_in_queue(record& each)
+{
+    if (each.open_attempts == 0 && each.failed_attempts == 0) {
+        this->refuse(each, refusal::cancelled, "cancelled before its start");
+        return;
+    }
+    answer whole;
+    whole.result = each.open_attempts > 0 ? fate::unknown : fate::failed;
+    whole.cause = "cancelled while it waited for a retry";
+    this->end(each, std::move(whole));
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::end_in_queue(record& each)
+{
+    if (each.open_attempts == 0 && each.failed_attempts == 0) {
+        this->refuse(each, refusal::deadline_passed, "its deadline passed before a start");
+        return;
+    }
+    answer whole;
+    whole.result = each.open_attempts > 0 ? fate::unknown : fate::failed;
+    whole.cause = "its deadline passed while it waited for a retry";
+    this->end(each, std::move(whole));
+}
+
+} // namespace chervilslip::requests
--- a/src/soak/world.h
+++ b/src/soak/world.h
@@ -11,6 +11,14 @@
 /// Runs the decisions of many nodes in virtual time from a seed, under faults.
 namespace chervilslip::soak {
 
+namespace detail {
+
+/// Homes and claims are remembered so long: longer than a pause and a late second try.
+inline constexpr common::milliseconds home_memory{40'000};
+inline constexpr double lost_messages = 0.01;
+
+} // namespace detail
+
 /// What one run is made of.
 struct world_options {
     std::uint64_t seed = 1;
--- a/src/workers/protocol.cpp
+++ b/src/workers/protocol.cpp
@@ -106,7 +106,10 @@
                          {"need", resources_json(each.need)},
                          {"lease_left_ms", each.lease_left.count()}});
     }
-    return {{"epoch", usage.epoch}, {"draining", usage.draining}, {"tasks", tasks}};
+    return {{"epoch", usage.epoch},
+            {"version", usage.version},
+            {"draining", usage.draining},
+            {"tasks", tasks}};
 }
 
 json to_json(const claim_reply& reply)
@@ -188,6 +191,7 @@
     return common::read_json<usage_snapshot>("read usage", text, peer, [](const json& source) {
         usage_snapshot usage;
         usage.epoch = source.at("epoch").get<std::string>();
+        usage.version = source.at("version").get<std::int64_t>();
         usage.draining = source.at("draining").get<bool>();
         for (const json& each : source.at("tasks")) {
             usage.tasks.push_back(
--- a/src/workers/protocol.h
+++ b/src/workers/protocol.h
@@ -51,6 +51,7 @@
 /// What a worker reports of its use; it may be older than now.
 struct usage_snapshot {
     std::string epoch;
+    std::int64_t version = 0; ///< changes with each change of the other fields
     bool draining = false;
     std::vector<running_task> tasks;
 
