--- a/scripts/trial.py
+++ b/scripts/trial.py
@@ -29,7 +29,8 @@
              "run_ms": 60, "urgent_part": 0.2},
             {"queue": "interference-checks", "team": "broadcast-desk", "mean_per_s": 40,
              "run_ms": 120, "repeatable": True},
-            {"queue": "licence-drafts", "team": "licence-clerks", "mean_per_s": 30, "run_ms": 200},
+            {"queue": "licence-drafts", "team": "licence-clerks", "mean_per_s": 30, "run_ms": 200,
+             "repeated_part": 0.3},
             {"queue": "public-lookups", "team": "public", "mean_per_s": 30, "run_ms": 20,
              "repeatable": True},
         ]
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -15,6 +15,7 @@
 constexpr common::milliseconds drain_check_time{20};
 constexpr common::milliseconds last_answers_time{300};
 constexpr common::milliseconds vm_list_time_limit{2000};
+constexpr unsigned status_not_modified = 304;
 constexpr std::size_t max_vm_list_bytes = std::size_t{8} * 1024 * 1024;
 
 requests::engine_options options_of(const node_settings& settings)
@@ -272,27 +273,36 @@
     net::http_request request;
     request.method = "GET";
     request.target = "/v1/vms";
-    this->platform.call(
-        this->settings.vm_list, std::move(request), vm_list_time_limit,
-        [this](common::result<net::http_response> answer) {
-            if (this->closed) {
-                return;
-            }
-            auto vms = answer ? fleet::parse_vm_list(answer.value().body,
-                                                     this->settings.vm_list.to_string())
-                              : common::result<std::vector<routing::upstream_info>>(answer.error());
-            if (!vms) {
-                this->log.write(common::event_id::vm_list_failed,
-                                {{"error", vms.error().to_string()}});
-                return;
-            }
-            const bool first = !std::exchange(this->vm_list_seen, true);
-            this->note_leaving(vms.value());
-            this->apply(requests::vm_list_received{std::move(vms.value())});
-            if (first) {
-                this->poll_usage();
-            }
-        });
+    if (!this->vm_list_tag.empty()) {
+        request.fields.push_back({"If-None-Match", this->vm_list_tag});
+    }
+    this->platform.call(this->settings.vm_list, std::move(request), vm_list_time_limit,
+                        [this](const common::result<net::http_response>& answer) {
+                            if (!this->closed) {
+                                this->take_vm_list(answer);
+                            }
+                        });
+}
+
+void node::take_vm_list(const common::result<net::http_response>& answer)
+{
+    if (answer && answer.value().status == status_not_modified) {
+        return;
+    }
+    auto vms = answer
+                   ? fleet::parse_vm_list(answer.value().body, this->settings.vm_list.to_string())
+                   : common::result<std::vector<routing::upstream_info>>(answer.error());
+    if (!vms) {
+        this->log.write(common::event_id::vm_list_failed, {{"error", vms.error().to_string()}});
+        return;
+    }
+    this->vm_list_tag = answer.value().field("ETag");
+    const bool first = !std::exchange(this->vm_list_seen, true);
+    this->note_leaving(vms.value());
+    this->apply(requests::vm_list_received{std::move(vms.value())});
+    if (first) {
+        this->poll_usage();
+    }
 }
 
 void node::note_leaving(const std::vector<routing::upstream_info>& vms)
@@ -367,6 +377,7 @@
     }
     this->log.write(common::event_id::node_stopping,
                     {{"open_requests", this->engine.open_requests()}});
+    this->others.announce_stop();
     const auto until =
         this->clock.steady_now() + this->settings.stop_notice + this->settings.stop_limit;
     this->after(this->settings.stop_notice, [this, until, on_stopped = std::move(on_stopped)] {
@@ -377,7 +388,8 @@
 
 void node::check_drained(common::steady_time until, const std::function<void()>& on_stopped)
 {
-    const bool nothing_held = this->engine.open_requests() == 0 && this->callers.waiters() == 0;
+    const bool nothing_held = this->engine.open_requests() == 0 && this->callers.waiters() == 0 &&
+                              this->others.open_calls() == 0;
     if (nothing_held || this->clock.steady_now() >= until) {
         // Queued requests are refused as not run; running tasks go on under their leases.
         this->apply(requests::stop_wanted{});
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -43,6 +43,7 @@
     void after(common::milliseconds delay, std::function<void()> action);
     void repeat(common::milliseconds period, std::function<void()> action);
     void poll_vm_list();
+    void take_vm_list(const common::result<net::http_response>& answer);
     void poll_usage();
     void note_leaving(const std::vector<routing::upstream_info>& vms);
     void reject(const common::error& cause);
@@ -77,6 +78,7 @@
     net::http_server caller_server;
     net::http_server operator_server;
     std::set<std::string> leaving;
+    std::string vm_list_tag; ///< of the list in use, so that an unchanged one is not sent again
     bool vm_list_seen = false;
     bool stopping = false;
     bool was_ready = false;
--- a/src/daemon/peer_relay.cpp
+++ b/src/daemon/peer_relay.cpp
@@ -99,10 +99,15 @@
     this->calls.erase(found);
 }
 
+std::size_t peer_relay::open_calls() const
+{
+    return this->calls.size();
+}
+
 void peer_relay::lost(const std::string& peer)
 {
     std::erase_if(this->calls, [&peer](const auto& item) {
-        const open_call& each = item.second;
+        const waiting_call& each = item.second;
         if (each.peer != peer) {
             return false;
         }
--- a/src/daemon/peer_relay.h
+++ b/src/daemon/peer_relay.h
@@ -32,11 +32,14 @@
     /// Takes the answer to a call of this node.
     void take(const membership::relay_answer& answer);
 
+    /// Returns how many calls wait for their answers.
+    [[nodiscard]] std::size_t open_calls() const;
+
     /// Ends the calls that wait for a peer that was lost.
     void lost(const std::string& peer);
 
 private:
-    struct open_call {
+    struct waiting_call {
         std::string peer;
         bool may_run = false;
         std::shared_ptr<net::http_exchange> exchange;
@@ -44,7 +47,7 @@
 
     membership::peer_network& network;
     local_handler handler;
-    std::map<std::uint64_t, open_call> calls;
+    std::map<std::uint64_t, waiting_call> calls;
     std::uint64_t last_number = 0;
 };
 
--- a/src/daemon/peers.cpp
+++ b/src/daemon/peers.cpp
@@ -38,6 +38,17 @@
     this->network.connect_to(address);
 }
 
+void peers::announce_stop()
+{
+    this->stopping = true;
+    this->beat();
+}
+
+std::size_t peers::open_calls() const
+{
+    return this->relay.open_calls();
+}
+
 void peers::close()
 {
     this->network.close();
@@ -46,6 +57,7 @@
 membership::heartbeat peers::make_heartbeat(bool changes_alone)
 {
     membership::heartbeat beat;
+    beat.stopping = this->stopping;
     if (const auto in_force = this->watcher.in_force()) {
         beat.settings_number = in_force->source.number;
         beat.settings_change = in_force->source.change;
@@ -105,6 +117,9 @@
 
 void peers::take_heartbeat(const membership::member& peer, const membership::heartbeat& beat)
 {
+    if (beat.stopping) {
+        this->view.heard_stopping(peer.name, this->clock.steady_now());
+    }
     auto& running = this->running_of_peer[peer.name];
     for (const auto& [team, amounts] : beat.running) {
         running[team] = amounts;
--- a/src/daemon/peers.h
+++ b/src/daemon/peers.h
@@ -34,6 +34,12 @@
     /// Notes that time has passed. Called more often than `beat`.
     void tick();
 
+    /// Tells all peers that this node takes no new calls of theirs.
+    void announce_stop();
+
+    /// Returns how many calls wait for the answer of a peer.
+    [[nodiscard]] std::size_t open_calls() const;
+
     /// Closes all connections.
     void close();
 
@@ -72,6 +78,7 @@
     std::map<std::string, teams::resources> last_sent;
     std::map<std::string, std::map<std::string, teams::resources>> running_of_peer;
     std::optional<common::steady_time> behind_since;
+    bool stopping = false;
 };
 
 } // namespace chervilslip::daemon
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/outcome/try.hpp>
 
+#include "common/crypto.h"
 #include "settings/document_tree.h"
 
 namespace chervilslip::fakes {
@@ -141,7 +142,14 @@
                        {"connections", each.connections},
                        {"state", this->leaving.contains(each.vm) ? "leaving" : "live"}});
     }
-    exchange.respond(net::json_response(200, {{"vms", vms}}));
+    net::http_response response = net::json_response(200, {{"vms", vms}});
+    const std::string tag = "\"" + common::sha256_hex(response.body) + "\"";
+    if (request.field("If-None-Match") == tag) {
+        response.status = 304;
+        response.body.clear();
+    }
+    response.fields.push_back({"ETag", tag});
+    exchange.respond(std::move(response));
 }
 
 } // namespace chervilslip::fakes
--- a/src/load/load_plan.cpp
+++ b/src/load/load_plan.cpp
@@ -29,6 +29,7 @@
     each.run_time = common::milliseconds(source.value("run_ms", std::int64_t{20}));
     each.deadline = common::milliseconds(source.value("deadline_ms", std::int64_t{10000}));
     each.repeatable = source.value("repeatable", false);
+    each.repeated_part = source.value("repeated_part", 0.0);
     each.urgent_part = source.value("urgent_part", 0.0);
     return each;
 }
--- a/src/load/load_plan.h
+++ b/src/load/load_plan.h
@@ -23,6 +23,7 @@
     common::milliseconds deadline{10000};
     bool repeatable = false;
     double urgent_part = 0.0;
+    double repeated_part = 0.0; ///< sent twice, under one idempotency key, to any two nodes
 
     friend bool operator==(const load_stream&, const load_stream&) = default;
 };
--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -154,8 +154,11 @@
         ++report.ends[fate.end];
         report.lost += fate.end == request_end::none ? 1 : 0;
         report.crossed += fate.crossed ? 1 : 0;
+        const bool keyed = stream.repeated_part > 0;
         report.doubled += !stream.repeatable && fate.starts > 1 ? 1 : 0;
-        report.false_refusals += fate.end == request_end::refused && fate.starts > 0 ? 1 : 0;
+        // Under an idempotency key the other of two requests may have run.
+        report.false_refusals +=
+            !keyed && fate.end == request_end::refused && fate.starts > 0 ? 1 : 0;
         if (fate.end == request_end::refused) {
             ++report.refusals[fate.reason];
         }
--- a/src/load/load_report.h
+++ b/src/load/load_report.h
@@ -20,6 +20,7 @@
 /// What is known of one request.
 struct request_fate {
     std::size_t stream = 0;
+    std::size_t nonce = 0;        ///< two requests under one idempotency key have the same
     bool direct = false;          ///< sent to a worker without the system
     common::milliseconds sent{0}; ///< since the run began
     std::chrono::microseconds latency{0};
--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -118,13 +118,29 @@
             request_fate fate;
             fate.stream = stream;
             fate.sent = this->since_start();
-            this->fates.push_back(fate);
-            this->send(this->fates.size() - 1);
+            this->hand_in(fate);
         }
         this->schedule_arrival(stream);
     });
 }
 
+void load_runner::hand_in(request_fate fate)
+{
+    fate.nonce = this->fates.size();
+    this->fates.push_back(fate);
+    this->send(this->fates.size() - 1);
+    if (this->random.chance(this->plan.streams[fate.stream].repeated_part)) {
+        // The second one comes at the same moment or up to three seconds later.
+        const auto delay = common::milliseconds(
+            this->random.chance(0.5) ? 0 : static_cast<std::int64_t>(this->random.below(3000)));
+        this->after(delay, [this, fate]() mutable {
+            fate.sent = this->since_start();
+            this->fates.push_back(fate);
+            this->send(this->fates.size() - 1);
+        });
+    }
+}
+
 void load_runner::schedule_direct()
 {
     const double gap_ms = this->random.exponential(1000.0 / this->plan.direct_per_second);
@@ -134,6 +150,7 @@
         }
         request_fate fate;
         fate.direct = true;
+        fate.nonce = this->fates.size();
         fate.sent = this->since_start();
         this->fates.push_back(fate);
         this->send_direct(this->fates.size() - 1);
@@ -175,7 +192,8 @@
 void load_runner::send_to(std::size_t number, std::size_t tries)
 {
     const load_stream& stream = this->plan.streams[this->fates[number].stream];
-    const json task = {{"nonce", nonce_of(number)}, {"run_ms", stream.run_time.count()}};
+    const std::string nonce = nonce_of(this->fates[number].nonce);
+    const json task = {{"nonce", nonce}, {"run_ms", stream.run_time.count()}};
     const json body = {{"body", task},
                        {"wait_ms", answer_limit.count() - 5000},
                        {"deadline_ms", stream.deadline.count()},
@@ -188,6 +206,9 @@
     if (!stream.key.empty()) {
         request.fields.push_back({"Authorization", "Bearer " + stream.key});
     }
+    if (stream.repeated_part > 0) {
+        request.fields.push_back({"Idempotency-Key", nonce});
+    }
     const auto begin_time = this->clock.steady_now();
     this->client.call(
         this->plan.nodes[this->pick_node()], std::move(request), answer_limit,
@@ -220,7 +241,7 @@
     fate.end = end_of(body);
     fate.reason = body.value("reason", std::string{});
     const std::string output = body.value("output", std::string{});
-    fate.crossed = fate.end == request_end::done && nonce_in(output) != nonce_of(number);
+    fate.crossed = fate.end == request_end::done && nonce_in(output) != nonce_of(fate.nonce);
 }
 
 void load_runner::send_direct(std::size_t number)
@@ -286,7 +307,7 @@
         }
     }
     for (std::size_t i = 0; i < this->fates.size(); ++i) {
-        const auto found = starts.find(nonce_of(i));
+        const auto found = starts.find(nonce_of(this->fates[i].nonce));
         this->fates[i].starts = found == starts.end() ? 0 : found->second;
     }
     return boost::outcome_v2::success();
--- a/src/load/load_runner.h
+++ b/src/load/load_runner.h
@@ -29,6 +29,7 @@
     void after(common::milliseconds delay, std::function<void()> action);
     void schedule_arrival(std::size_t stream);
     void schedule_direct();
+    void hand_in(request_fate fate);
     void check_nodes();
     void send(std::size_t number);
     void send_to(std::size_t number, std::size_t tries);
--- a/src/membership/messages.cpp
+++ b/src/membership/messages.cpp
@@ -44,7 +44,7 @@
         running[team] = json::array(
             {amounts.processors, amounts.memory_mb, amounts.accelerators, amounts.slots});
     }
-    return {"heartbeat", value.settings_number, value.settings_change, running};
+    return {"heartbeat", value.settings_number, value.settings_change, running, value.stopping};
 }
 
 json to_json(const relay_call& value)
@@ -71,7 +71,10 @@
 
 heartbeat read_heartbeat(const json& source)
 {
-    heartbeat value{source.at(1).get<std::int64_t>(), source.at(2).get<std::string>(), {}};
+    heartbeat value{source.at(1).get<std::int64_t>(),
+                    source.at(2).get<std::string>(),
+                    {},
+                    source.at(4).get<bool>()};
     for (const auto& item : source.at(3).items()) {
         const json& amounts = item.value();
         value.running[item.key()] = {
--- a/src/membership/messages.h
+++ b/src/membership/messages.h
@@ -46,6 +46,7 @@
     std::int64_t settings_number = 0;
     std::string settings_change;
     std::map<std::string, teams::resources> running; ///< by team, as far as it changed
+    bool stopping = false;                           ///< the sender takes no new calls of its peers
 
     friend bool operator==(const heartbeat&, const heartbeat&) = default;
 };
--- a/src/membership/tests/messages_tests.cpp
+++ b/src/membership/tests/messages_tests.cpp
@@ -20,7 +20,7 @@
     const std::vector<message> all{
         hello{message_version, sender, "nonce"},
         proof{"code"},
-        heartbeat{12, "change", {{"red", {1, 2, 3, 4}}}},
+        heartbeat{12, "change", {{"red", {1, 2, 3, 4}}}, true},
         relay_call{9, "POST", "/v1/x", "Bearer k", "key", "body"},
         relay_answer{9, 200, "body"},
         settings_wanted{},
@@ -70,7 +70,7 @@
                 },
                 [this](const member& peer) {
                     this->connected.push_back(peer.name);
-                    this->one.send("two", heartbeat{5, "c", {}});
+                    this->one.send("two", heartbeat{5, "c", {}, false});
                 },
                 [](const member&) {},
                 [this](const common::error& cause) {
--- a/src/membership/tests/view_tests.cpp
+++ b/src/membership/tests/view_tests.cpp
@@ -124,6 +124,25 @@
     cr_assert(known.was_always_home(own, zones, now));
 }
 
+Test(view, stopping_peer_is_no_home_until_it_starts_anew)
+{
+    // given
+    common::steady_time now{};
+    view known(node("a", "north"), options, now);
+    known.heard_from(node("b", "north"), now);
+    const std::string key = key_at(known, "b");
+
+    // when
+    known.heard_stopping("b", now);
+    known.heard_from(node("b", "north"), now);
+    const auto while_stopping = known.home_of(key, zones);
+    known.heard_from(node("b", "north", 2), now);
+
+    // then
+    cr_assert(while_stopping == "a");
+    cr_assert(known.home_of(key, zones) == "b");
+}
+
 Test(view, paused_node_trusts_no_key)
 {
     // given
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -42,14 +42,25 @@
     if (peer.incarnation < state.who.incarnation) {
         return; // A message of an earlier start that comes late.
     }
+    state.stopping = state.stopping && peer.incarnation == state.who.incarnation;
     state.who = peer;
     state.heard_at = now;
-    if (!state.live) {
+    if (!state.live && !state.stopping) {
         state.live = true;
         this->remember_zone(now);
     }
 }
 
+void view::heard_stopping(const std::string& name, common::steady_time now)
+{
+    const auto found = this->peers.find(name);
+    if (found != this->peers.end() && found->second.live) {
+        found->second.stopping = true;
+        found->second.live = false;
+        this->remember_zone(now);
+    }
+}
+
 void view::tick(common::steady_time now)
 {
     const bool was_paused = now - this->last_tick > this->options.suspect_time;
@@ -61,7 +72,7 @@
     }
     bool changed = was_paused;
     for (auto& [name, state] : this->peers) {
-        const bool live = now - state.heard_at <= this->options.suspect_time;
+        const bool live = !state.stopping && now - state.heard_at <= this->options.suspect_time;
         changed = changed || live != state.live;
         state.live = live;
     }
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -25,6 +25,9 @@
     /// Notes a sign of life of a peer, at the latest incarnation seen.
     void heard_from(const member& peer, common::steady_time now);
 
+    /// Notes that a peer is stopping: it is no home any more, until it starts anew.
+    void heard_stopping(const std::string& name, common::steady_time now);
+
     /// Notes that time has passed. A gap longer than the suspect time means that this node was
     /// paused: what it knew of its peers is then too old to rely on.
     void tick(common::steady_time now);
@@ -55,6 +58,7 @@
         member who;
         common::steady_time heard_at;
         bool live = false;
+        bool stopping = false;
     };
 
     /// The names that lived in this node's zone from a moment on.
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -14,6 +14,16 @@
     });
 }
 
+std::string find_field(const std::vector<http_field>& fields, std::string_view name)
+{
+    for (const http_field& candidate : fields) {
+        if (equal_without_case(candidate.name, name)) {
+            return candidate.value;
+        }
+    }
+    return {};
+}
+
 std::string percent_decode(std::string_view text)
 {
     std::string decoded;
@@ -35,12 +45,12 @@
 
 std::string http_request::field(std::string_view name) const
 {
-    for (const http_field& candidate : this->fields) {
-        if (equal_without_case(candidate.name, name)) {
-            return candidate.value;
-        }
-    }
-    return {};
+    return find_field(this->fields, name);
+}
+
+std::string http_response::field(std::string_view name) const
+{
+    return find_field(this->fields, name);
 }
 
 std::string http_request::path() const
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -46,6 +46,9 @@
     std::string body;
     std::vector<http_field> fields;
 
+    /// Returns the value of the first field of that name, or an empty text. Thread safe.
+    [[nodiscard]] std::string field(std::string_view name) const;
+
     friend bool operator==(const http_response&, const http_response&) = default;
 };
 
--- a/src/requests/engine.h
+++ b/src/requests/engine.h
@@ -117,6 +117,8 @@
     [[nodiscard]] std::shared_ptr<const settings::snapshot> in_force() const;
 
 private:
+    static constexpr common::milliseconds upkeep_time{1000};
+
     enum class timer_kind { queue_deadline, query, claim, claim_again, forget, release_orphan };
 
     struct timer {
@@ -172,6 +174,7 @@
     [[nodiscard]] bool is_chosen_for(const std::string& task) const;
     void take_inherited(const std::string& vm, const std::vector<routing::reported_task>& tasks);
     void drop_silent_inherited();
+    void forget_departed();
     void note_departed(const std::vector<routing::upstream_info>& vms);
     [[nodiscard]] bool is_recovering() const;
 
@@ -234,6 +237,7 @@
     std::set<std::string> unheard_vms; ///< listed, but without a report since this engine was made
     std::map<std::string, common::steady_time> heard_vms; ///< with the time of the last report
     std::optional<common::steady_time> made_at;
+    common::steady_time next_upkeep;
     std::multimap<common::steady_time, timer> timers;
     std::deque<std::string> ended_order;
     std::size_t open_count = 0;
--- a/src/requests/engine_admission.h
+++ b/src/requests/engine_admission.h
@@ -220,7 +220,6 @@
 {
     this->note_departed(received.vms);
     this->view.update_vm_list(received.vms);
-    this->drop_silent_inherited();
     this->unheard_vms.clear();
     for (const routing::upstream_info& each : received.vms) {
         if (!this->heard_vms.contains(each.vm)) {
--- a/src/requests/engine_claims.h
+++ b/src/requests/engine_claims.h
@@ -149,6 +149,11 @@
             this->departed.try_emplace(each.vm, this->view.pool_of(each.vm), this->now);
         }
     }
+}
+
+template <teams::limit_guard_type Guard>
+void engine<Guard>::forget_departed()
+{
     std::erase_if(this->departed, [this](const auto& item) {
         return this->now - item.second.second > this->options.claim_memory;
     });
--- a/src/requests/engine_ends.h
+++ b/src/requests/engine_ends.h
@@ -126,6 +126,11 @@
         this->timers.erase(this->timers.begin());
         this->fire(due);
     }
+    if (this->now >= this->next_upkeep) {
+        this->next_upkeep = this->now + upkeep_time;
+        this->drop_silent_inherited();
+        this->forget_departed();
+    }
     this->dispatch_all();
 }
 
--- a/src/routing/outlier_detector.cpp
+++ b/src/routing/outlier_detector.cpp
@@ -21,6 +21,9 @@
 {
     track& each = this->tracks[vm];
     each.pool = pool;
+    if (each.ejected && now < each.until) {
+        return false; // The end of a task from before the ejection tells nothing new.
+    }
     const bool failed = result != outcome::succeeded;
     each.failure_rate = rate_memory * each.failure_rate + (1 - rate_memory) * (failed ? 1.0 : 0.0);
     if (!failed) {
