Make upkeep and VM lists cheaper at size

Change: upkeep walks only workers with inherited tasks; a VM list updates entries in place and returns those that are gone.

--- a/src/requests/engine.h
+++ b/src/requests/engine.h
@@ -175,7 +175,7 @@
     void take_inherited(const std::string& vm, const std::vector<routing::reported_task>& tasks);
     void drop_silent_inherited();
     void forget_departed();
-    void note_departed(const std::vector<routing::upstream_info>& vms);
+    void note_departed(const std::vector<routing::departed_upstream>& gone);
     [[nodiscard]] bool is_recovering() const;
 
     // Claims: what other nodes may have started under an idempotency key.
--- a/src/requests/engine_admission.h
+++ b/src/requests/engine_admission.h
@@ -218,10 +218,10 @@
 template <teams::limit_guard_type Guard>
 void engine<Guard>::handle(const vm_list_received& received)
 {
-    this->note_departed(received.vms);
-    this->view.update_vm_list(received.vms);
+    this->note_departed(this->view.update_vm_list(received.vms));
     this->unheard_vms.clear();
     for (const routing::upstream_info& each : received.vms) {
+        this->departed.erase(each.vm);
         if (!this->heard_vms.contains(each.vm)) {
             this->unheard_vms.insert(each.vm);
         }
@@ -234,10 +234,10 @@
 void engine<Guard>::handle(const usage_received& received)
 {
     this->view.update_usage(received.vm, received.report);
+    this->heard_vms[received.vm] = this->now;
     this->take_inherited(received.vm, received.report.own);
     this->renew_inherited(received);
     this->adopt_orphaned(received);
-    this->heard_vms[received.vm] = this->now;
     this->unheard_vms.erase(received.vm);
 }
 
--- a/src/requests/engine_claims.h
+++ b/src/requests/engine_claims.h
@@ -137,17 +137,10 @@
 }
 
 template <teams::limit_guard_type Guard>
-void engine<Guard>::note_departed(const std::vector<routing::upstream_info>& vms)
+void engine<Guard>::note_departed(const std::vector<routing::departed_upstream>& gone)
 {
-    std::set<std::string> listed;
-    for (const routing::upstream_info& each : vms) {
-        listed.insert(each.vm);
-        this->departed.erase(each.vm);
-    }
-    for (const routing::upstream_info& each : this->view.all()) {
-        if (!listed.contains(each.vm)) {
-            this->departed.try_emplace(each.vm, this->view.pool_of(each.vm), this->now);
-        }
+    for (const routing::departed_upstream& each : gone) {
+        this->departed.try_emplace(each.vm, each.pool, this->now);
     }
 }
 
--- a/src/requests/engine_recovery.h
+++ b/src/requests/engine_recovery.h
@@ -22,12 +22,18 @@
 template <teams::limit_guard_type Guard>
 void engine<Guard>::drop_silent_inherited()
 {
-    for (const auto& [vm, heard_at] : this->heard_vms) {
+    std::vector<std::string> silent;
+    for (const auto& [vm, tasks] : this->inherited) {
         // By now the upstream has stopped what nobody asked for, or it is gone.
-        if (this->now > heard_at + this->options.task_lease + this->options.lease_margin) {
-            this->take_inherited(vm, {});
+        const auto stopped_at =
+            this->heard_vms.at(vm) + this->options.task_lease + this->options.lease_margin;
+        if (this->now > stopped_at) {
+            silent.push_back(vm);
         }
     }
+    for (const std::string& vm : silent) {
+        this->take_inherited(vm, {});
+    }
 }
 
 template <teams::limit_guard_type Guard>
@@ -67,6 +73,9 @@
         this->view.remove_own(vm, each.what.need);
     }
     known = std::move(reported);
+    if (known.empty()) {
+        this->inherited.erase(vm);
+    }
 }
 
 template <teams::limit_guard_type Guard>
@@ -89,12 +98,14 @@
 template <teams::limit_guard_type Guard>
 void engine<Guard>::adopt_orphaned(const usage_received& received)
 {
-    auto& known = this->inherited[received.vm];
     for (const routing::reported_task& each : received.report.others) {
         const bool orphaned = !this->live_nodes.empty() && !this->live_nodes.contains(each.node) &&
                               this->is_due(each);
-        if (!orphaned || known.contains(each.task) || !this->is_chosen_for(each.task) ||
-            !this->guard.has_room(each.team)) {
+        if (!orphaned || !this->is_chosen_for(each.task) || !this->guard.has_room(each.team)) {
+            continue;
+        }
+        auto& known = this->inherited[received.vm];
+        if (known.contains(each.task)) {
             continue;
         }
         // The task counts under this node's part of the limit from now on: its own node, which may
--- a/src/routing/upstream_view.cpp
+++ b/src/routing/upstream_view.cpp
@@ -79,40 +79,53 @@
     this->assign_pools();
 }
 
-void upstream_view::update_vm_list(const std::vector<upstream_info>& vms)
+std::vector<departed_upstream> upstream_view::update_vm_list(const std::vector<upstream_info>& vms)
 {
-    for (auto& [vm, each] : this->entries) {
-        each.listed = false;
-    }
+    ++this->list_number;
     for (const upstream_info& info : vms) {
-        entry& each = this->entries[info.vm];
+        const auto [found, is_new] = this->entries.try_emplace(info.vm);
+        entry& each = found->second;
         if (each.info.address != info.address) {
             each.epoch.clear();
         }
+        if (is_new) {
+            this->assign_pool(info.vm, each);
+        }
         each.info = info;
-        each.listed = true;
+        each.listed_in = this->list_number;
         each.leaving = each.leaving || info.leaving;
     }
+    std::vector<departed_upstream> gone;
     for (auto each = this->entries.begin(); each != this->entries.end();) {
-        if (!each->second.listed && each->second.own.slots == 0) {
+        const bool listed = each->second.listed_in == this->list_number;
+        if (!listed) {
+            gone.push_back({each->first, each->second.pool});
+        }
+        if (!listed && each->second.own.slots == 0) {
             this->outliers.forget(each->first);
+            this->vms_of_pool[each->second.pool].erase(each->first);
             each = this->entries.erase(each);
         } else {
             ++each;
         }
     }
-    this->assign_pools();
+    return gone;
+}
+
+void upstream_view::assign_pool(const std::string& vm, entry& each)
+{
+    const auto found = this->pool_of_vm.find(vm);
+    each.pool = found == this->pool_of_vm.end() ? std::string{} : found->second;
+    if (!each.pool.empty()) {
+        this->vms_of_pool[each.pool].insert(vm);
+    }
 }
 
 void upstream_view::assign_pools()
 {
     this->vms_of_pool.clear();
     for (auto& [vm, each] : this->entries) {
-        const auto found = this->pool_of_vm.find(vm);
-        each.pool = found == this->pool_of_vm.end() ? std::string{} : found->second;
-        if (!each.pool.empty()) {
-            this->vms_of_pool[each.pool].insert(vm);
-        }
+        this->assign_pool(vm, each);
     }
 }
 
@@ -154,7 +167,7 @@
 
 bool upstream_view::takes_work(const entry& each) const
 {
-    return each.listed && !each.leaving && !each.epoch.empty();
+    return each.listed_in == this->list_number && !each.leaving && !each.epoch.empty();
 }
 
 bool upstream_view::has_room(const entry& each, const placement_query& query) const
@@ -292,7 +305,7 @@
 {
     teams::resources total;
     for (const auto& [vm, each] : this->entries) {
-        if (each.listed) {
+        if (each.listed_in == this->list_number) {
             total += each.info.size;
         }
     }
--- a/src/routing/upstream_view.h
+++ b/src/routing/upstream_view.h
@@ -24,6 +24,14 @@
     friend bool operator==(const candidate&, const candidate&) = default;
 };
 
+/// An upstream that the VM list no longer shows.
+struct departed_upstream {
+    std::string vm;
+    std::string pool;
+
+    friend bool operator==(const departed_upstream&, const departed_upstream&) = default;
+};
+
 /// What a task asks of routing.
 struct placement_query {
     std::string pool;
@@ -80,8 +88,8 @@
     /// Takes over the pools of newly accepted settings.
     void update_settings(const settings::snapshot& in_force);
 
-    /// Takes over a VM list. Upstreams that it no longer shows get nothing new.
-    void update_vm_list(const std::vector<upstream_info>& vms);
+    /// Takes over a VM list. Upstreams that it no longer shows get nothing new; they are returned.
+    std::vector<departed_upstream> update_vm_list(const std::vector<upstream_info>& vms);
 
     /// Takes over an upstream's report.
     void update_usage(const std::string& vm, const usage_report& report);
@@ -142,7 +150,7 @@
         teams::resources own;
         teams::resources others;
         bool leaving = false;
-        bool listed = true;
+        std::int64_t listed_in = 0; ///< the last list that showed it
         bool probing = false;
         common::steady_time full_until;
     };
@@ -154,11 +162,13 @@
                                                   common::steady_time now) const;
     std::size_t choose(const std::vector<candidate>& candidates);
     void assign_pools();
+    void assign_pool(const std::string& vm, entry& each);
 
     std::string zone;
     choice_kind policy;
     outlier_detector outliers;
     common::random_source& random;
+    std::int64_t list_number = 0;
     std::map<std::string, entry> entries;
     std::map<std::string, std::string> pool_of_vm;
     std::map<std::string, std::set<std::string>> vms_of_pool;
