Claim keys that a node had to forget; bound its memory

Cause: an ended request takes 2.5 KB, so 50000 of them would take 125 of the 128 MB; and a key whose record was forgotten after 10 minutes, or pushed out earlier, could run again within its stated 15 minutes. Change: 20000 records, kept for 15 minutes; while a key may have been forgotten too early, keyed requests ask the workers first. Conclusion: the memory stays below the bound at any rate, and the promise no longer depends on it.

--- a/src/requests/engine.h
+++ b/src/requests/engine.h
@@ -42,8 +42,8 @@
     common::milliseconds longest_query_delay{1000};
     common::milliseconds full_pause{25}; ///< an upstream without room is left alone so long
     common::milliseconds unreachable_pause{500};
-    common::milliseconds retention{600000}; ///< how long an answer can be fetched
-    std::size_t most_records = 50000;
+    common::milliseconds retention{900000}; ///< how long an answer can be fetched
+    std::size_t most_records = 20000;
     int most_attempts = 3;
     common::milliseconds claim_time{6000}; ///< then an upstream that was not reached stays unknown
     common::milliseconds claim_retry_delay{300};
@@ -158,6 +158,7 @@
     void refuse(record& each, refusal why, std::string cause);
     void end(record& each, answer whole);
     void forget_oldest();
+    void note_forgotten(const record& each);
     void refuse_withdrawn();
     [[nodiscard]] std::vector<std::string> queued_requests() const;
     void drop_from_lines(const record& each);
@@ -238,6 +239,8 @@
     std::map<std::string, common::steady_time> heard_vms; ///< with the time of the last report
     std::optional<common::steady_time> made_at;
     common::steady_time next_upkeep;
+    common::steady_time
+        memory_gap_until; ///< until then a forgotten key may have run within the memory
     std::multimap<common::steady_time, timer> timers;
     std::deque<std::string> ended_order;
     std::size_t open_count = 0;
--- a/src/requests/engine_admission.h
+++ b/src/requests/engine_admission.h
@@ -43,7 +43,9 @@
     }
     this->budget.add_request();
     this->id_of_task[each.task] = wanted.id;
-    if (wanted.must_claim && this->options.fault != planted_fault::skip_claims) {
+    // The workers remember keys that this node had to forget for lack of room.
+    const bool forgot_keys = !wanted.idempotency_key.empty() && this->now < this->memory_gap_until;
+    if ((wanted.must_claim || forgot_keys) && this->options.fault != planted_fault::skip_claims) {
         this->claim(each);
         return;
     }
--- a/src/requests/engine_ends.h
+++ b/src/requests/engine_ends.h
@@ -30,6 +30,7 @@
     ++this->counts.ended[whole.result];
     --this->open_count;
     each.result = whole;
+    each.ended_at = this->now;
     const auto owner = this->id_of_task.find(each.task);
     if (not_run && owner != this->id_of_task.end() && owner->second == each.request.id) {
         // A request that was not run may be handed in again under the same idempotency key.
@@ -51,6 +52,15 @@
     this->forget_oldest();
 }
 
+template <teams::limit_guard_type Guard>
+void engine<Guard>::note_forgotten(const record& each)
+{
+    if (!each.request.idempotency_key.empty()) {
+        this->memory_gap_until =
+            std::max(this->memory_gap_until, each.ended_at + this->options.claim_memory);
+    }
+}
+
 template <teams::limit_guard_type Guard>
 void engine<Guard>::forget_oldest()
 {
@@ -198,6 +208,7 @@
             const auto owner = this->id_of_task.find(each.task);
             if (owner != this->id_of_task.end() && owner->second == due.id) {
                 this->id_of_task.erase(owner);
+                this->note_forgotten(each);
             }
             this->records.erase(found);
         }
--- a/src/requests/record.h
+++ b/src/requests/record.h
@@ -49,6 +49,7 @@
     bool counted = false; ///< holds a right of its team's limit, and room on an upstream
     bool cancel_wanted = false;
     std::optional<answer> result;
+    common::steady_time ended_at;
     std::set<std::string> unclaimed;   ///< upstreams whose reply to the claim is missing
     std::set<std::string> claim_again; ///< of those, the ones to ask again
     std::string inconclusive;          ///< an upstream that may have run the task, and cannot say
--- a/src/requests/tests/engine_tests.cpp
+++ b/src/requests/tests/engine_tests.cpp
@@ -11,8 +11,10 @@
 /// One engine with one pool of two upstreams, and the actions of the last event.
 class fixture {
 public:
-    explicit fixture(std::int64_t limit = 100, bool repeatable = false)
-        : engine(make_options(), teams::static_division({0, 1}), this->random, this->invariants)
+    explicit fixture(std::int64_t limit = 100, bool repeatable = false,
+                     std::size_t most_records = 20000)
+        : engine(make_options(most_records), teams::static_division({0, 1}), this->random,
+                 this->invariants)
     {
         auto made = std::make_shared<settings::snapshot>();
         made->number = 1;
@@ -101,9 +103,10 @@
         return {vm, vm, "zone", "rack", {32, 65536, 0, 8}, false};
     }
 
-    static engine_options make_options()
+    static engine_options make_options(std::size_t most_records)
     {
         engine_options options;
+        options.most_records = most_records;
         options.zone = "zone";
         return options;
     }
@@ -514,6 +517,28 @@
     cr_assert(each.start_count == 0);
 }
 
+Test(engine, key_that_was_forgotten_for_lack_of_room_is_claimed_before_it_runs_again)
+{
+    // given room for two ended requests, and a keyed one that three others push out
+    fixture each(100, false, 2);
+    each.submit("first", "red", "k");
+    each.reply("first", reply_kind::finished);
+    for (const std::string id : {"a", "b", "c"}) {
+        each.submit(id);
+        each.reply(id, reply_kind::finished);
+    }
+    cr_assert(each.engine.find("first") == nullptr);
+
+    // when the key comes again
+    const int before = each.start_count;
+    each.submit("second", "red", "k");
+
+    // then the workers are asked, and know the answer
+    cr_assert(each.start_count == before);
+    each.send(claim_reply("vm-1", claim_kind::finished));
+    cr_assert(each.answers.at("second").output == "earlier output");
+}
+
 Test(engine, long_task_of_a_dead_node_is_taken_over_within_the_limit)
 {
     // given a limit of 1, and two tasks of a node that is gone, their leases half over
--- a/src/soak/world_callers.cpp
+++ b/src/soak/world_callers.cpp
@@ -303,7 +303,9 @@
             ++this->report.starts;
         }
     }
-    for (const auto& [id, truth] : this->truths) {
+    for (const auto& item : this->truths) {
+        const std::string& id = item.first;
+        const request_truth& truth = item.second;
         const node_state& node = this->nodes[truth.node];
         const bool node_lived = node.incarnation == truth.incarnation && node.up;
         this->check("nothing_lost", !node_lived || truth.answer,
