End waiting requests in one place; give each peer test its own port

Cause: three functions decided between refused, failed and unknown for a request that ends while it waits; the peer tests shared two fixed ports and failed when two of them ran at once (seen in one run of make test).

--- a/src/daemon/peers.cpp
+++ b/src/daemon/peers.cpp
@@ -1,5 +1,7 @@
 #include "daemon/peers.h"
 
+#include <boost/outcome/try.hpp>
+
 namespace chervilslip::daemon {
 
 namespace {
@@ -30,7 +32,8 @@
 
 common::result<void> peers::listen()
 {
-    return this->network.listen();
+    BOOST_OUTCOME_TRY(this->network.listen());
+    return boost::outcome_v2::success();
 }
 
 void peers::connect_to(const net::endpoint& address)
--- a/src/membership/peer_network.cpp
+++ b/src/membership/peer_network.cpp
@@ -250,7 +250,7 @@
     {
     }
 
-    common::result<void> listen()
+    common::result<net::endpoint> listen()
     {
         const auto address = net::parse_endpoint(this->self.address);
         boost::system::error_code failure = asio::error::invalid_argument;
@@ -269,7 +269,9 @@
                               failure.message());
         }
         this->accept();
-        return boost::outcome_v2::success();
+        const net::endpoint opened{address->address, this->acceptor.local_endpoint(failure).port()};
+        this->self.address = opened.to_string();
+        return opened;
     }
 
     void connect_to(const net::endpoint& address)
@@ -439,7 +441,7 @@
     this->inner->close();
 }
 
-common::result<void> peer_network::listen()
+common::result<net::endpoint> peer_network::listen()
 {
     return this->inner->listen();
 }
--- a/src/membership/peer_network.h
+++ b/src/membership/peer_network.h
@@ -38,8 +38,8 @@
     peer_network& operator=(const peer_network&) = delete;
     ~peer_network();
 
-    /// Opens the port. Errors: `connect_failed`.
-    common::result<void> listen();
+    /// Opens the port; port 0 takes a free one. Errors: `connect_failed`.
+    common::result<net::endpoint> listen();
 
     /// Keeps a connection to an address from now on.
     void connect_to(const net::endpoint& address);
--- a/src/membership/tests/messages_tests.cpp
+++ b/src/membership/tests/messages_tests.cpp
@@ -55,11 +55,12 @@
 /// Two networks on loopback, run until `done` or for at most two seconds.
 struct pair_of_nodes {
     explicit pair_of_nodes(const std::string& second_secret)
-        : one(this->context, {"one", "z", "127.0.0.1:28701", 1}, "first secret", this->hooks()),
-          two(this->context, {"two", "z", "127.0.0.1:28702", 1}, second_secret, this->hooks())
+        : one(this->context, {"one", "z", "127.0.0.1:0", 1}, "first secret", this->hooks()),
+          two(this->context, {"two", "z", "127.0.0.1:0", 1}, second_secret, this->hooks())
     {
-        cr_assert(this->one.listen().has_value() && this->two.listen().has_value());
-        this->one.connect_to({"127.0.0.1", 28702});
+        cr_assert(this->one.listen().has_value());
+        this->address = this->two.listen().value();
+        this->one.connect_to(this->address);
     }
 
     network_hooks hooks()
@@ -87,6 +88,7 @@
     }
 
     boost::asio::io_context context;
+    net::endpoint address; ///< of the second
     std::vector<message> received;
     std::vector<std::string> connected;
     std::vector<common::error> refused;
@@ -125,7 +127,7 @@
     // given
     pair_of_nodes nodes("first secret");
     boost::asio::ip::tcp::socket socket(nodes.context);
-    socket.connect({boost::asio::ip::make_address("127.0.0.1"), 28702});
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), nodes.address.port});
 
     // when a stranger announces a frame of 16 MB
     const std::string header("\x01\x00\x00\x00", 4);
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -83,9 +83,8 @@
     while (!rest.empty()) {
         const std::size_t end = std::min(rest.find('&'), rest.size());
         const std::string_view pair = rest.substr(0, end);
-        const std::size_t equals = std::min(pair.find('='), pair.size());
-        if (pair.substr(0, equals) == name) {
-            return percent_decode(pair.substr(std::min(equals + 1, pair.size())));
+        if (pair.starts_with(name) && pair.substr(name.size()).starts_with('=')) {
+            return percent_decode(pair.substr(name.size() + 1));
         }
         rest.remove_prefix(std::min(end + 1, rest.size()));
     }
--- a/src/requests/engine.h
+++ b/src/requests/engine.h
@@ -162,9 +162,7 @@
     void refuse_withdrawn();
     [[nodiscard]] std::vector<std::string> queued_requests() const;
     void drop_from_lines(const record& each);
-    void end_in_queue(record& each);
-    void end_cancelled_in_queue(record& each);
-    void end_without_queue(record& each);
+    void end_while_waiting(record& each, refusal why, const std::string& cause);
     [[nodiscard]] common::milliseconds expected_wait(const record& each) const;
 
     // Recovery: what a node of this name left running before this engine was made.
--- a/src/requests/engine_attempts.h
+++ b/src/requests/engine_attempts.h
@@ -154,15 +154,8 @@
     if (reply.was_query) {
         ++this->counts.resolved_not_started;
     }
-    if (each.cancel_wanted && each.open_attempts == 0 && each.failed_attempts == 0) {
-        this->refuse(each, refusal::cancelled, "cancelled before its start");
-        return;
-    }
     if (each.cancel_wanted) {
-        answer whole;
-        whole.result = fate::failed;
-        whole.cause = "cancelled after a start";
-        this->end(each, std::move(whole));
+        this->end_while_waiting(each, refusal::cancelled, "it was cancelled");
         return;
     }
     this->requeue(each, true);
@@ -244,11 +237,11 @@
 {
     if (!this->settings_in_force->queues.contains(each.request.queue) ||
         (!each.who.key_id.empty() && !teams::is_active(*this->settings_in_force, each.who))) {
-        this->end_without_queue(each);
+        this->end_while_waiting(each, refusal::key_withdrawn, "the key or the queue was withdrawn");
         return;
     }
     if (this->now >= each.deadline) {
-        this->end_in_queue(each);
+        this->end_while_waiting(each, refusal::deadline_passed, "its deadline passed");
         return;
     }
     move_to(each, stage::queued, this->invariants);
@@ -258,19 +251,6 @@
     this->set_timer(each.deadline, timer_kind::queue_deadline, each.request.id);
 }
 
-template <teams::limit_guard_type Guard>
-void engine<Guard>::end_without_queue(record& each)
-{
-    if (each.open_attempts == 0 && each.failed_attempts == 0) {
-        this->refuse(each, refusal::key_withdrawn, "the key or the queue was withdrawn");
-        return;
-    }
-    answer whole;
-    whole.result = each.open_attempts > 0 ? fate::unknown : fate::failed;
-    whole.cause = "the key or the queue was withdrawn before a retry";
-    this->end(each, std::move(whole));
-}
-
 template <teams::limit_guard_type Guard>
 void engine<Guard>::release(record& each)
 {
--- a/src/requests/engine_claims.h
+++ b/src/requests/engine_claims.h
@@ -130,7 +130,7 @@
     const bool key_gone =
         !each.who.key_id.empty() && !teams::is_active(*this->settings_in_force, each.who);
     if (queue_gone || key_gone) {
-        this->end_without_queue(each);
+        this->end_while_waiting(each, refusal::key_withdrawn, "the key or the queue was withdrawn");
         return;
     }
     this->enqueue(each);
--- a/src/requests/engine_ends.h
+++ b/src/requests/engine_ends.h
@@ -52,6 +52,19 @@
     this->forget_oldest();
 }
 
+template <teams::limit_guard_type Guard>
+void engine<Guard>::end_while_waiting(record& each, refusal why, const std::string& cause)
+{
+    if (each.open_attempts == 0 && each.failed_attempts == 0) {
+        this->refuse(each, why, cause + " before a start");
+        return;
+    }
+    answer whole;
+    whole.result = each.open_attempts > 0 ? fate::unknown : fate::failed;
+    whole.cause = cause + " while it waited for a retry";
+    this->end(each, std::move(whole));
+}
+
 template <teams::limit_guard_type Guard>
 void engine<Guard>::note_forgotten(const record& each)
 {
@@ -81,7 +94,7 @@
     switch (each.at) {
     case stage::queued:
         this->drop_from_lines(each);
-        this->end_cancelled_in_queue(each);
+        this->end_while_waiting(each, refusal::cancelled, "it was cancelled");
         break;
     case stage::placed:
     case stage::started:
@@ -123,7 +136,8 @@
         const bool key_gone = with_key && !teams::is_active(*this->settings_in_force, each.who);
         if (queue_gone || key_gone) {
             this->drop_from_lines(each);
-            this->end_without_queue(each);
+            this->end_while_waiting(each, refusal::key_withdrawn,
+                                    "the key or the queue was withdrawn");
         }
     }
 }
@@ -151,11 +165,7 @@
     for (const std::string& id : this->queued_requests()) {
         record& each = this->records.at(id);
         this->drop_from_lines(each);
-        if (each.open_attempts == 0 && each.failed_attempts == 0) {
-            this->refuse(each, refusal::stopping, "this node stopped before a start");
-        } else {
-            this->end_in_queue(each);
-        }
+        this->end_while_waiting(each, refusal::stopping, "this node stopped");
     }
 }
 
@@ -185,7 +195,7 @@
     case timer_kind::queue_deadline:
         if (each.at == stage::queued && this->now >= each.deadline) {
             this->drop_from_lines(each);
-            this->end_in_queue(each);
+            this->end_while_waiting(each, refusal::deadline_passed, "its deadline passed");
         }
         break;
     case timer_kind::claim:
@@ -224,30 +234,4 @@
     this->lines[each.line].drop(each.who.team, each.request.id);
 }
 
-template <teams::limit_guard_type Guard>
-void engine<Guard>::end_cancelled_in_queue(record& each)
-{
-    if (each.open_attempts == 0 && each.failed_attempts == 0) {
-        this->refuse(each, refusal::cancelled, "cancelled before its start");
-        return;
-    }
-    answer whole;
-    whole.result = each.open_attempts > 0 ? fate::unknown : fate::failed;
-    whole.cause = "cancelled while it waited for a retry";
-    this->end(each, std::move(whole));
-}
-
-template <teams::limit_guard_type Guard>
-void engine<Guard>::end_in_queue(record& each)
-{
-    if (each.open_attempts == 0 && each.failed_attempts == 0) {
-        this->refuse(each, refusal::deadline_passed, "its deadline passed before a start");
-        return;
-    }
-    answer whole;
-    whole.result = each.open_attempts > 0 ? fate::unknown : fate::failed;
-    whole.cause = "its deadline passed while it waited for a retry";
-    this->end(each, std::move(whole));
-}
-
 } // namespace chervilslip::requests
--- a/src/requests/tests/engine_tests.cpp
+++ b/src/requests/tests/engine_tests.cpp
@@ -86,7 +86,7 @@
 
     void report(const std::string& vm, const std::string& epoch = "e1")
     {
-        this->send(usage_received{vm, {epoch, {}, false, {}}});
+        this->send(usage_received{vm, {epoch, {}, false, {}, {}}});
     }
 
     void change(const std::function<void(settings::snapshot&)>& edit)
@@ -412,9 +412,10 @@
 {
     // given a limit of 2, and two tasks that a node of this name left running
     fixture each(2);
-    each.send(usage_received{
-        "vm-1",
-        {"e1", {}, false, {{"old-1", "red", {1, 256, 0, 1}}, {"old-2", "red", {1, 256, 0, 1}}}}});
+    routing::usage_report report{"e1", {}, false, {}, {}};
+    report.own = {{"old-1", "red", {1, 256, 0, 1}, "", {}},
+                  {"old-2", "red", {1, 256, 0, 1}, "", {}}};
+    each.send(usage_received{"vm-1", report});
 
     // when
     each.submit("a");
--- a/src/store/tests/memory_store.h
+++ b/src/store/tests/memory_store.h
@@ -31,8 +31,8 @@
             std::exchange(this->before_swap, nullptr)();
         }
         const auto found = this->values.find(request.key);
-        const auto revision = found == this->values.end() ? no_revision : found->second.revision;
-        const bool swapped = revision == request.expected_revision;
+        const auto current = found == this->values.end() ? no_revision : found->second.revision;
+        const bool swapped = current == request.expected_revision;
         if (swapped) {
             this->values[request.key] = {request.value, ++this->revision};
             this->written.push_back(request.key);
