--- a/src/settings/tests/checker_tests.cpp
+++ b/src/settings/tests/checker_tests.cpp
@@ -21,10 +21,10 @@
         {"/workspaces/desk", {json{{"size", "small"}}, "workspaces/desk.json"}},
         {"/teams/red/rules",
          {json{{"workspace", "desk"}, {"share", 1.5}, {"limit", 7}}, "teams/red/rules.json"}},
-        {"/queues/work",
+        {"/queues/jobs",
          {json{
               {"workspace", "desk"}, {"pool", "main"}, {"most_waiting", 10}, {"deadline_ms", 1000}},
-          "queues/work.json"}},
+          "queues/jobs.json"}},
     };
 }
 
@@ -50,17 +50,17 @@
     // then
     cr_assert(checked.problems.empty());
     cr_assert(checked.typed.teams.at("red").limit == 7);
-    cr_assert(checked.typed.queues.at("work").deadline == std::chrono::seconds(1));
+    cr_assert(checked.typed.queues.at("jobs").deadline == std::chrono::seconds(1));
 }
 
 Test(checker, unknown_field_is_named_with_the_fields_allowed)
 {
     // given / when
-    const auto found = only_problem("/queues/work/dead_line_ms", 1);
+    const auto found = only_problem("/queues/jobs/dead_line_ms", 1);
 
     // then
-    cr_assert(found.file == "queues/work.json");
-    cr_assert(found.path == "/queues/work/dead_line_ms");
+    cr_assert(found.file == "queues/jobs.json");
+    cr_assert(found.path == "/queues/jobs/dead_line_ms");
     cr_assert(found.allowed.find("deadline_ms") != std::string::npos);
 }
 
@@ -86,8 +86,8 @@
 Test(checker, dangling_references_name_what_exists)
 {
     // given / when / then
-    cr_assert(only_problem("/queues/work/pool", "other").allowed == "a pool that exists: main");
-    cr_assert(only_problem("/queues/work/workspace", "other").file == "queues/work.json");
+    cr_assert(only_problem("/queues/jobs/pool", "other").allowed == "a pool that exists: main");
+    cr_assert(only_problem("/queues/jobs/workspace", "other").file == "queues/jobs.json");
     cr_assert(only_problem("/teams/red/rules/workspace", "other").path ==
               "/teams/red/rules/workspace");
     cr_assert(only_problem("/fleet/spare_pool", "other").path == "/fleet/spare_pool");
@@ -97,7 +97,7 @@
 {
     // given
     auto tree = valid_tree();
-    tree["/queues/work"].value.erase("pool");
+    tree["/queues/jobs"].value.erase("pool");
 
     // when
     const auto problems = check_tree(tree).problems;
@@ -125,7 +125,7 @@
 {
     // given
     auto tree = valid_tree();
-    tree["/queues/work"].value["pool"] = "other";
+    tree["/queues/jobs"].value["pool"] = "other";
     tree["/teams/red/rules"].value["limit"] = 0;
     tree["/teams/red/rules"].value["colour"] = "red";
     tree["/nonsense"] = {json::object(), "nonsense.json"};
