--- a/src/daemon/request_api.cpp
+++ b/src/daemon/request_api.cpp
@@ -139,7 +139,9 @@
         const json& body = source.at("body");
         checked.wanted.body = body.is_string() ? body.get<std::string>() : body.dump();
     }
-    reader.ignore("body");
+    for (const char* optional : {"body", "repeatable", "deadline_ms"}) {
+        reader.ignore(optional); // Allowed, also when it is not there to be read.
+    }
     checked.wanted.urgent = reader.boolean_or("urgent", false);
     if (source.is_object() && source.contains("repeatable")) {
         checked.wanted.repeatable = reader.boolean_or("repeatable", false);
