Take a start refused for its epoch as one that may have run

Ruled out: final refusals, which a restarted worker has forgotten. Change: an epoch that has changed says 'may have run' for starts as for queries; a test of it. Conclusion: a start that races with an unplanned restart ends as unknown unless it is repeatable; a planned reboot is not touched, since a draining worker gets no starts.

--- a/src/requests/engine_attempts.h
+++ b/src/requests/engine_attempts.h
@@ -60,11 +60,8 @@
         break;
     case reply_kind::epoch_changed:
         this->view.forget_epoch(reply.attempt.worker);
-        if (reply.was_query) {
-            this->after_vanished(*each, "the worker started anew");
-        } else {
-            this->after_not_started(*each, reply);
-        }
+        // Also for a start: a first copy of the message may have run before the worker forgot it.
+        this->after_vanished(*each, "the worker started anew");
         break;
     case reply_kind::not_sent:
         if (reply.was_query || each->at != stage::placed) {
--- a/src/requests/messages.h
+++ b/src/requests/messages.h
@@ -106,7 +106,7 @@
     full,          ///< as `not_started`, for lack of room
     draining,      ///< as `not_started`, because the upstream is leaving
     claimed,       ///< as `not_started`, because another node has claimed the task
-    epoch_changed, ///< as `not_started` for a start; for a query the upstream has forgotten
+    epoch_changed, ///< the upstream has started anew, and forgotten what it ran
     not_sent,      ///< no byte reached the upstream
     lost,          ///< the upstream may have acted
 };
--- a/src/requests/tests/engine_tests.cpp
+++ b/src/requests/tests/engine_tests.cpp
@@ -212,6 +212,20 @@
     cr_assert(each.answers.at("a").result == fate::unknown);
 }
 
+Test(engine, start_refused_for_its_epoch_may_have_run_as_an_earlier_copy)
+{
+    // given an unrepeatable request whose worker has started anew
+    fixture each;
+    each.submit("a");
+
+    // when
+    each.reply("a", reply_kind::epoch_changed);
+
+    // then
+    cr_assert(each.answers.at("a").result == fate::unknown);
+    cr_assert(each.start_count == 1);
+}
+
 Test(engine, no_team_has_more_running_than_its_limit)
 {
     // given a limit of 3
