Say once what a failed read from a peer means

Cause: two handlers of peer_network ended the connection in the same four lines. Change: ended_with. Conclusion: no behaviour changed.

--- a/src/membership/peer_network.cpp
+++ b/src/membership/peer_network.cpp
@@ -124,9 +124,7 @@
         asio::async_read(this->socket, asio::buffer(this->header),
                          [self = this->shared_from_this()](const boost::system::error_code& failure,
                                                            std::size_t) {
-                             if (failure) {
-                                 self->end(errc::connection_lost, "read from peer",
-                                           failure.message());
+                             if (self->ended_with(failure)) {
                                  return;
                              }
                              self->read_body(length_of(self->header));
@@ -146,15 +144,21 @@
         asio::async_read(this->socket, asio::buffer(this->body),
                          [self = this->shared_from_this()](const boost::system::error_code& failure,
                                                            std::size_t) {
-                             if (failure) {
-                                 self->end(errc::connection_lost, "read from peer",
-                                           failure.message());
+                             if (self->ended_with(failure)) {
                                  return;
                              }
                              self->take_frame();
                          });
     }
 
+    bool ended_with(const boost::system::error_code& failure)
+    {
+        if (failure) {
+            this->end(errc::connection_lost, "read from peer", failure.message());
+        }
+        return static_cast<bool>(failure);
+    }
+
     void take_frame()
     {
         const auto received = decode(this->body, this->other.name);
