Keep what a wave has done for the next owner; leave out entries of ended lives

Ruled out: lost starts (each task had ended 'stopped' by order, none was unanswered). Change: chervilslip/wave/N holds the serviced VMs under the claim; a serviced VM is released; only the newest life on a VM counts.

--- a/src/daemon/cell_host.cpp
+++ b/src/daemon/cell_host.cpp
@@ -458,7 +458,7 @@
     this->cell->restore(std::move(stored), this->claim_won_at);
     this->cell->see_workers(this->entries, this->now());
     this->fleet = std::make_unique<fleet_keeper>(
-        fleet_parts{this->parts.context, this->parts.clock, this->parts.log,
+        fleet_parts{this->parts.context, this->parts.clock, this->parts.log, this->parts.store,
                     this->parts.machines, *this->cell},
         fleet::order_fence{this->self, this->token}, this->claim_won_at);
     this->fleet->configure(this->configuration);
--- a/src/daemon/fleet_keeper.cpp
+++ b/src/daemon/fleet_keeper.cpp
@@ -1,5 +1,9 @@
 #include "daemon/fleet_keeper.h"
 
+#include <boost/asio/steady_timer.hpp>
+
+#include "daemon/store_keys.h"
+
 namespace chervilslip::daemon {
 
 namespace {
@@ -12,6 +16,9 @@
 /// The list of VMs is read this often while a wave runs, and otherwise.
 constexpr common::milliseconds list_period{500};
 
+/// A failed read of what an earlier holder has done is repeated after this time.
+constexpr common::milliseconds read_retry{200};
+
 /// Waves are looked at this often.
 constexpr common::milliseconds plan_period{100};
 
@@ -21,6 +28,70 @@
     : parts(with), fence(std::move(under)), orders_from(won_at + holder_gap),
       planner(maintenance::wave_options{})
 {
+    this->read_earlier({});
+}
+
+void fleet_keeper::read_earlier(const std::string& after)
+{
+    const std::weak_ptr<int> alive = this->life;
+    this->parts.store.range(
+        std::string(store_keys::waves), after,
+        [this, alive, after](common::result<store::range_page> page) {
+            if (alive.expired()) {
+                return;
+            }
+            if (!page) {
+                auto delay = std::make_shared<boost::asio::steady_timer>(this->parts.context,
+                                                                         read_retry);
+                delay->async_wait([this, alive, after, delay](const boost::system::error_code&) {
+                    if (!alive.expired()) {
+                        this->read_earlier(after);
+                    }
+                });
+                return;
+            }
+            for (const store::item& each : page.value().items) {
+                this->take_earlier(each);
+            }
+            if (page.value().more && !page.value().items.empty()) {
+                this->read_earlier(page.value().items.back().key);
+                return;
+            }
+            this->earlier_read = true;
+            this->planner.see_waves(this->waves, this->parts.clock.steady_now());
+        });
+}
+
+void fleet_keeper::take_earlier(const store::item& stored)
+{
+    try {
+        const auto value = nlohmann::json::parse(stored.value);
+        this->planner.restore(std::stoll(stored.key.substr(store_keys::waves.size())),
+                              value.at("serviced").get<std::set<std::string>>(),
+                              value.at("completed").get<bool>());
+    } catch (const std::exception& failure) {
+        // Orders are repeated then, which does no harm.
+        this->parts.log.write(event_id::journal_failed,
+                              {{"key", stored.key}, {"error", failure.what()}});
+    }
+}
+
+void fleet_keeper::keep_progress(std::int64_t wave, bool completed)
+{
+    const nlohmann::json value{{"serviced", this->planner.serviced_of(wave)},
+                               {"completed", completed}};
+    store::transaction changes;
+    changes.expected.push_back({std::string(store_keys::claim), this->fence.token});
+    changes.set.push_back(
+        {store_keys::of(store_keys::waves, std::to_string(wave)), value.dump(), 0});
+    this->parts.store.commit(
+        changes, [log = &this->parts.log, wave](common::result<store::commit_outcome> outcome) {
+            if (!outcome) {
+                // The next holder repeats the orders that it does not know of.
+                log->write(event_id::journal_failed,
+                           {{"wave", wave}, {"error", outcome.error().to_string()}});
+            }
+        });
 }
 
 void fleet_keeper::configure(std::shared_ptr<const fleet_configuration> newer)
@@ -30,7 +101,10 @@
 
 void fleet_keeper::see_waves(const std::vector<maintenance::wave_request>& waves)
 {
-    this->planner.see_waves(waves, this->parts.clock.steady_now());
+    this->waves = waves;
+    if (this->earlier_read) {
+        this->planner.see_waves(waves, this->parts.clock.steady_now());
+    }
 }
 
 void fleet_keeper::tick(common::steady_time now, common::steady_time authority_until)
@@ -141,6 +215,9 @@
                 what = fate::unknown;
             }
             this->planner.take_order(step.wave, step.vm, what, this->parts.clock.steady_now());
+            if (accepted) {
+                this->keep_progress(step.wave, false);
+            }
         });
 }
 
@@ -157,6 +234,9 @@
                                                             {"completed", completed},
                                                             {"written", written.has_value()}});
             this->planner.take_report(step.wave, completed, written.has_value());
+            if (completed && written) {
+                this->keep_progress(step.wave, true);
+            }
         });
 }
 
--- a/src/daemon/fleet_keeper.h
+++ b/src/daemon/fleet_keeper.h
@@ -16,6 +16,7 @@
     boost::asio::io_context& context;
     const common::clock& clock;
     const common::event_log& log;
+    store::transactional_store& store;
     fleet::machine_port& machines;
     scheduling::cell& cell;
 };
@@ -34,6 +35,9 @@
     void tick(common::steady_time now, common::steady_time authority_until);
 
 private:
+    void read_earlier(const std::string& after);
+    void take_earlier(const store::item& stored);
+    void keep_progress(std::int64_t wave, bool completed);
     void read_list(common::steady_time now);
     void carry_out(const maintenance::wave_step& step, common::steady_time now);
     void order_service(const maintenance::wave_step& step);
@@ -45,6 +49,8 @@
     common::steady_time orders_from;
     std::shared_ptr<const fleet_configuration> configuration;
     maintenance::wave_planner planner;
+    std::vector<maintenance::wave_request> waves;
+    bool earlier_read = false; ///< what an earlier holder has done is known
     std::vector<fleet::fleet_vm> vms;
     common::steady_time list_asked_at;
     common::steady_time next_list;
--- a/src/maintenance/wave_planner.cpp
+++ b/src/maintenance/wave_planner.cpp
@@ -33,10 +33,36 @@
         }
         found->second.request = each;
         found->second.seen_at = now;
+        const earlier_progress& before = this->earlier[each.number];
+        found->second.running_reported = before.completed;
+        found->second.completed_reported = before.completed;
         for (const std::string& vm : each.vms) {
             found->second.vms[vm].since = now;
+            if (before.serviced.contains(vm)) {
+                found->second.vms[vm].phase = vm_phase::down;
+            }
+        }
+    }
+}
+
+void wave_planner::restore(std::int64_t wave, std::set<std::string> serviced, bool completed)
+{
+    this->earlier[wave] = {std::move(serviced), completed};
+}
+
+std::set<std::string> wave_planner::serviced_of(std::int64_t wave) const
+{
+    std::set<std::string> names;
+    const auto found = this->waves.find(wave);
+    if (found == this->waves.end()) {
+        return names;
+    }
+    for (const auto& [name, vm] : found->second.vms) {
+        if (vm.phase == vm_phase::down || vm.phase == vm_phase::serviced) {
+            names.insert(name);
         }
     }
+    return names;
 }
 
 std::vector<wave_step> wave_planner::plan(const std::map<std::string, vm_view>& vms,
@@ -45,7 +71,7 @@
     std::vector<wave_step> steps;
     for (auto& [number, wave] : this->waves) {
         if (!wave.completed_reported) {
-            this->follow_list(wave, vms, now);
+            this->follow_list(wave, vms, now, steps);
             this->plan_wave(wave, vms, now, steps);
         }
     }
@@ -53,7 +79,7 @@
 }
 
 void wave_planner::follow_list(wave_progress& wave, const std::map<std::string, vm_view>& vms,
-                               common::steady_time now)
+                               common::steady_time now, std::vector<wave_step>& steps)
 {
     for (auto& [name, vm] : wave.vms) {
         const auto listed = vms.find(name);
@@ -69,6 +95,8 @@
         if (vm.phase == vm_phase::down && listed->second.up && over) {
             vm.phase = vm_phase::serviced;
             vm.since = now;
+            // The same worker still runs when an earlier holder's order had done it already.
+            steps.push_back({wave_step::kind::release_vm, wave.request.number, name});
         }
         if (vm.phase == vm_phase::left) {
             vm = {vm_phase::waiting, now, {}, false};
--- a/src/maintenance/wave_planner.h
+++ b/src/maintenance/wave_planner.h
@@ -62,6 +62,9 @@
 public:
     explicit wave_planner(wave_options wanted);
 
+    /// Takes what an earlier holder has done of a wave. Precondition: before the wave is seen.
+    void restore(std::int64_t wave, std::set<std::string> serviced, bool completed);
+
     /// Takes all waves that operators have asked for.
     void see_waves(const std::vector<wave_request>& asked, common::steady_time now);
 
@@ -77,6 +80,9 @@
     /// Takes the answer to a report; one that was not written is made again.
     void take_report(std::int64_t wave, bool completed, bool written);
 
+    /// Returns the VMs of a wave that have begun their upkeep.
+    [[nodiscard]] std::set<std::string> serviced_of(std::int64_t wave) const;
+
     /// Tells whether a VM belongs to a wave that is not completed and still needs its upkeep.
     [[nodiscard]] bool is_wanted(const std::string& vm) const;
 
@@ -102,10 +108,16 @@
     void plan_wave(wave_progress& wave, const std::map<std::string, vm_view>& vms,
                    common::steady_time now, std::vector<wave_step>& steps);
     void follow_list(wave_progress& wave, const std::map<std::string, vm_view>& vms,
-                     common::steady_time now);
+                     common::steady_time now, std::vector<wave_step>& steps);
+
+    struct earlier_progress {
+        std::set<std::string> serviced;
+        bool completed = false;
+    };
 
     wave_options options;
     std::map<std::int64_t, wave_progress> waves;
+    std::map<std::int64_t, earlier_progress> earlier;
 };
 
 } // namespace chervilslip::maintenance
--- a/src/scheduling/cell.h
+++ b/src/scheduling/cell.h
@@ -187,6 +187,7 @@
 
     // cell_workers.cpp: workers, looks and orders
     worker_state* find_worker(const worker_life& life);
+    void see_worker(const worker_entry& entry, common::steady_time now);
     void look_if_due(worker_state& at, common::steady_time now);
     void match_running(worker_state& at, const look_answer& answer, common::steady_time now);
     void match_missing(worker_state& at, const look_answer& answer, common::steady_time now);
--- a/src/scheduling/cell_workers.cpp
+++ b/src/scheduling/cell_workers.cpp
@@ -35,45 +35,30 @@
 
 void cell::see_workers(const std::vector<worker_entry>& entries, common::steady_time now)
 {
-    std::set<std::string> listed;
-    for (const worker_entry& entry : entries) {
-        listed.insert(entry.life.id);
-        worker_state& known = this->workers[entry.life.id];
-        if (known.entry.life != entry.life) {
-            if (!known.entry.life.id.empty()) {
-                if (known.entry.life.born_ms > entry.life.born_ms) {
-                    continue; // an entry of an earlier life
-                }
-                this->lose_runs_of(known, "worker started anew", now);
-            }
-            known = worker_state{};
-            known.next_look = now;
-            known.idle_since = now;
-            this->note(decision_note::kind::worker_added, entry.life.id,
-                       "pool " + entry.pool + ", VM " + entry.vm);
-        }
-        const bool began_draining = entry.draining && !known.entry.draining;
-        known.entry = entry;
-        known.listed = true;
-        if (began_draining) {
-            this->evacuate(entry.life.id, now);
-        }
-    }
-    // A later life on the same VM proves that the earlier one has ended.
+    // The entry of an earlier life may stay for seconds; a later one on the same VM proves that
+    // the earlier has ended.
     std::map<std::string, worker_life> newest;
     for (const worker_entry& entry : entries) {
         worker_life& life = newest[entry.vm];
-        if (!entry.vm.empty() && life.born_ms <= entry.life.born_ms) {
+        if (life.born_ms <= entry.life.born_ms) {
             life = entry.life;
         }
     }
-    for (auto& [id, known] : this->workers) {
-        if (!listed.contains(id)) {
-            known.listed = false;
+    const auto is_ended = [&newest](const worker_entry& entry) {
+        const auto later = newest.find(entry.vm);
+        return !entry.vm.empty() && later != newest.end() &&
+               later->second.born_ms > entry.life.born_ms;
+    };
+    std::set<std::string> listed;
+    for (const worker_entry& entry : entries) {
+        if (!is_ended(entry)) {
+            listed.insert(entry.life.id);
+            this->see_worker(entry, now);
         }
-        const auto later = newest.find(known.entry.vm);
-        if (later != newest.end() && !known.entry.vm.empty() &&
-            later->second.born_ms > known.entry.life.born_ms) {
+    }
+    for (auto& [id, known] : this->workers) {
+        known.listed = known.listed && listed.contains(id);
+        if (is_ended(known.entry)) {
             known.listed = false;
             this->lose_runs_of(known, "its VM has a later life", now);
         }
@@ -81,6 +66,30 @@
     this->dispatch_due = true;
 }
 
+void cell::see_worker(const worker_entry& entry, common::steady_time now)
+{
+    worker_state& known = this->workers[entry.life.id];
+    if (known.entry.life != entry.life) {
+        if (!known.entry.life.id.empty()) {
+            if (known.entry.life.born_ms > entry.life.born_ms) {
+                return; // an entry of an earlier life
+            }
+            this->lose_runs_of(known, "worker started anew", now);
+        }
+        known = worker_state{};
+        known.next_look = now;
+        known.idle_since = now;
+        this->note(decision_note::kind::worker_added, entry.life.id,
+                   "pool " + entry.pool + ", VM " + entry.vm);
+    }
+    const bool began_draining = entry.draining && !known.entry.draining;
+    known.entry = entry;
+    known.listed = true;
+    if (began_draining) {
+        this->evacuate(entry.life.id, now);
+    }
+}
+
 void cell::worker_died(const std::string& worker, common::steady_time now)
 {
     const auto found = this->workers.find(worker);
