--- a/src/common/clock.h
+++ b/src/common/clock.h
@@ -39,8 +39,8 @@
     }
 };
 
-/// A clock whose monotonic time also counts while the machine is suspended, so that a lease is never
-/// believed to last longer than it does.
+/// A clock whose monotonic time also counts while the machine is suspended, so that a lease is
+/// never believed to last longer than it does.
 class suspend_aware_clock final : public clock {
 public:
     [[nodiscard]] steady_time steady_now() const override
--- a/src/daemon/cell_host.cpp
+++ b/src/daemon/cell_host.cpp
@@ -450,9 +450,9 @@
             one.progress = progress->second;
         }
     }
-    this->parts.log.write(event_id::takeover_read, {{"token", this->token},
-                                                    {"jobs", stored.size()},
-                                                    {"workers", this->entries.size()}});
+    this->parts.log.write(
+        event_id::takeover_read,
+        {{"token", this->token}, {"jobs", stored.size()}, {"workers", this->entries.size()}});
     this->cell->configure(this->configuration->policy);
     this->cell->extend_authority(this->keeper.authority_until());
     this->cell->restore(std::move(stored), this->claim_won_at);
@@ -510,12 +510,12 @@
         const auto life = look->worker;
         this->parts.workers.look(
             *look, this->token,
-            this->for_this_cell([this, sent_at, life](scheduling::verdict outcome,
-                                                      scheduling::look_report report) {
-                this->cell->take_look({life, sent_at, outcome, std::move(report)}, this->now());
-                this->cell->tick(this->now(), this->unix_ms());
-                this->run_cell();
-            }));
+            this->for_this_cell(
+                [this, sent_at, life](scheduling::verdict outcome, scheduling::look_report report) {
+                    this->cell->take_look({life, sent_at, outcome, std::move(report)}, this->now());
+                    this->cell->tick(this->now(), this->unix_ms());
+                    this->run_cell();
+                }));
     } else if (auto* start = std::get_if<scheduling::start_order>(&what)) {
         this->parts.workers.start(*start, this->token,
                                   this->for_this_cell([this](scheduling::order_answer answer) {
@@ -531,12 +531,12 @@
     } else if (auto* pace = std::get_if<scheduling::pace_order>(&what)) {
         this->parts.workers.pace(*pace, this->token);
     } else if (auto* advice = std::get_if<scheduling::advice_order>(&what)) {
-        this->parts.workers.advise(
-            *advice, this->for_this_cell([this](scheduling::advice_answer answer) {
-                this->cell->take_advice(answer, this->now());
-                this->cell->tick(this->now(), this->unix_ms());
-                this->run_cell();
-            }));
+        this->parts.workers.advise(*advice,
+                                   this->for_this_cell([this](scheduling::advice_answer answer) {
+                                       this->cell->take_advice(answer, this->now());
+                                       this->cell->tick(this->now(), this->unix_ms());
+                                       this->run_cell();
+                                   }));
     } else if (auto* journal = std::get_if<scheduling::journal_order>(&what)) {
         this->write_journal(std::move(*journal));
     } else if (auto* note = std::get_if<scheduling::decision_note>(&what)) {
--- a/src/daemon/fleet_keeper.cpp
+++ b/src/daemon/fleet_keeper.cpp
@@ -41,8 +41,8 @@
                 return;
             }
             if (!page) {
-                auto delay = std::make_shared<boost::asio::steady_timer>(this->parts.context,
-                                                                         read_retry);
+                auto delay =
+                    std::make_shared<boost::asio::steady_timer>(this->parts.context, read_retry);
                 delay->async_wait([this, alive, after, delay](const boost::system::error_code&) {
                     if (!alive.expired()) {
                         this->read_earlier(after);
@@ -230,9 +230,9 @@
             if (alive.expired()) {
                 return;
             }
-            this->parts.log.write(event_id::wave_progress, {{"wave", step.wave},
-                                                            {"completed", completed},
-                                                            {"written", written.has_value()}});
+            this->parts.log.write(
+                event_id::wave_progress,
+                {{"wave", step.wave}, {"completed", completed}, {"written", written.has_value()}});
             this->planner.take_report(step.wave, completed, written.has_value());
             if (completed && written) {
                 this->keep_progress(step.wave, true);
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -229,8 +229,7 @@
     call.method = "GET";
     call.target = target_of(state_target, id);
     this->call_owner(
-        std::move(call),
-        [done = std::move(done)](common::result<membership::relay_answer> answer) {
+        std::move(call), [done = std::move(done)](common::result<membership::relay_answer> answer) {
             if (!answer) {
                 done(answer.error());
                 return;
@@ -257,19 +256,18 @@
     membership::relay_call call;
     call.method = "GET";
     call.target = target_of(waiting_target, queue);
-    this->call_owner(
-        std::move(call),
-        [done = std::move(done)](common::result<membership::relay_answer> answer) {
-            const auto waiting = answer && answer.value().status == status_ok
-                                     ? read_number<std::int64_t>(answer.value().body)
-                                     : std::nullopt;
-            if (!waiting) {
-                done(make_error(errc::unavailable, "ask owner for waiting jobs", "",
-                                "no owner answered"));
-                return;
-            }
-            done(*waiting);
-        });
+    this->call_owner(std::move(call),
+                     [done = std::move(done)](common::result<membership::relay_answer> answer) {
+                         const auto waiting = answer && answer.value().status == status_ok
+                                                  ? read_number<std::int64_t>(answer.value().body)
+                                                  : std::nullopt;
+                         if (!waiting) {
+                             done(make_error(errc::unavailable, "ask owner for waiting jobs", "",
+                                             "no owner answered"));
+                             return;
+                         }
+                         done(*waiting);
+                     });
 }
 
 } // namespace chervilslip::daemon
--- a/src/daemon/job_desk.cpp
+++ b/src/daemon/job_desk.cpp
@@ -78,8 +78,8 @@
             if ((maybe || maybe_earlier) && each.tries < most_tries) {
                 this->queue.push_back(std::move(each));
             } else {
-                this->settle(each, maybe || maybe_earlier ? desk_fate::unknown
-                                                          : desk_fate::not_run);
+                this->settle(each,
+                             maybe || maybe_earlier ? desk_fate::unknown : desk_fate::not_run);
             }
         }
         return;
@@ -176,19 +176,17 @@
     });
 }
 
-void job_desk::state(const std::string& id,
-                     store::handler<std::optional<jobs::job_state>> done)
+void job_desk::state(const std::string& id, store::handler<std::optional<jobs::job_state>> done)
 {
-    this->owner.ask_state(
-        id, [this, id, done = std::move(done)](
-                common::result<std::optional<jobs::job_state>> answer) mutable {
-            if (answer.has_value() && answer.value()) {
-                done(std::move(answer));
-                return;
-            }
-            // The owner may not have seen a new job yet, or there is no owner now.
-            this->read_state(id, std::move(done));
-        });
+    this->owner.ask_state(id, [this, id, done = std::move(done)](
+                                  common::result<std::optional<jobs::job_state>> answer) mutable {
+        if (answer.has_value() && answer.value()) {
+            done(std::move(answer));
+            return;
+        }
+        // The owner may not have seen a new job yet, or there is no owner now.
+        this->read_state(id, std::move(done));
+    });
 }
 
 void job_desk::read_state(const std::string& id,
--- a/src/daemon/job_desk.h
+++ b/src/daemon/job_desk.h
@@ -14,10 +14,10 @@
 
 /// What callers are told.
 enum class desk_fate {
-    accepted,   ///< durable; also when it was handed in before
-    conflict,   ///< another team's job has that id
-    not_run,    ///< refused; it never runs under this call
-    unknown,    ///< may have been accepted
+    accepted, ///< durable; also when it was handed in before
+    conflict, ///< another team's job has that id
+    not_run,  ///< refused; it never runs under this call
+    unknown,  ///< may have been accepted
     no_such_job,
 };
 
--- a/src/daemon/peer_calls.cpp
+++ b/src/daemon/peer_calls.cpp
@@ -23,8 +23,8 @@
     if (!this->network.send(peer, what)) {
         boost::asio::post(this->context, [this, weak, number, peer] {
             if (!weak.expired()) {
-                this->finish(number, make_error(errc::connect_failed, "call peer", peer,
-                                                "no connection"));
+                this->finish(number,
+                             make_error(errc::connect_failed, "call peer", peer, "no connection"));
             }
         });
         return;
--- a/src/daemon/store_keys.h
+++ b/src/daemon/store_keys.h
@@ -12,7 +12,7 @@
 inline constexpr std::string_view cancels = "chervilslip/in/cancel/";
 inline constexpr std::string_view progress = "chervilslip/progress/"; ///< written by the owner
 inline constexpr std::string_view closed = "chervilslip/closed/";     ///< written by the owner
-inline constexpr std::string_view waves = "chervilslip/wave/";         ///< written by the owner
+inline constexpr std::string_view waves = "chervilslip/wave/";        ///< written by the owner
 
 /// Returns the key of one thing under a prefix.
 inline std::string of(std::string_view prefix, const std::string& name)
--- a/src/daemon/store_path.cpp
+++ b/src/daemon/store_path.cpp
@@ -92,8 +92,7 @@
     which->direct_tried = true;
     const auto left =
         std::chrono::duration_cast<common::milliseconds>(which->give_up - this->clock.steady_now());
-    const auto limit =
-        which->peers_left.empty() ? left : std::min(left, direct_most + which->wait);
+    const auto limit = which->peers_left.empty() ? left : std::min(left, direct_most + which->wait);
     this->client.call(this->address, which->request, std::max(limit, common::milliseconds{1}),
                       [this, which](common::result<net::http_response> answer) {
                           this->take_direct(which, std::move(answer));
@@ -110,8 +109,8 @@
     }
     which->last_cause = answer.has_value() ? "status " + std::to_string(answer.value().status)
                                            : answer.error().to_string();
-    which->maybe_done = which->maybe_done ||
-                        (!answer.has_value() && answer.error().may_have_reached_peer());
+    which->maybe_done =
+        which->maybe_done || (!answer.has_value() && answer.error().may_have_reached_peer());
     this->note_direct(false, which->last_cause);
     this->try_peer(which);
 }
@@ -123,14 +122,12 @@
                         {{"cause", cause}});
     }
     this->direct_works = served;
-    this->direct_again =
-        served ? common::steady_time{} : this->clock.steady_now() + direct_pause;
+    this->direct_again = served ? common::steady_time{} : this->clock.steady_now() + direct_pause;
 }
 
 void store_path::give_up(const std::shared_ptr<pending_call>& which)
 {
-    const auto code =
-        which->maybe_done ? common::errc::connection_lost : common::errc::unavailable;
+    const auto code = which->maybe_done ? common::errc::connection_lost : common::errc::unavailable;
     which->done(common::make_error(code, "call store", "store", which->last_cause));
 }
 
@@ -183,8 +180,7 @@
     this->try_peer(which);
 }
 
-void store_path::serve(const membership::relay_call& call,
-                       const membership::answer_sender& answer)
+void store_path::serve(const membership::relay_call& call, const membership::answer_sender& answer)
 {
     const std::string rest = call.target.substr(relay_prefix.size());
     const auto end_of_wait = rest.find('/');
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -19,17 +19,17 @@
     common::milliseconds estimate{0};
     std::vector<step_index> after; ///< earlier steps whose tasks must all be done first
     bool checkpoints = false;
-    bool gang = false;        ///< the tasks work only together
-    bool same_rack = false;   ///< a gang that is slower across racks
-    bool copies = false;      ///< tasks may run more than once at a time
+    bool gang = false;         ///< the tasks work only together
+    bool same_rack = false;    ///< a gang that is slower across racks
+    bool copies = false;       ///< tasks may run more than once at a time
     bool long_running = false; ///< runs until the job is cancelled
-    bool filler = false;      ///< takes processors that the VM's other tasks leave over
+    bool filler = false;       ///< takes processors that the VM's other tasks leave over
     std::string required_label;
-    std::string near_rack; ///< where the data is; slower elsewhere
-    std::int64_t max_per_vm = 0; ///< 0: no bound
-    std::string image; ///< tasks of one image behave alike
+    std::string near_rack;               ///< where the data is; slower elsewhere
+    std::int64_t max_per_vm = 0;         ///< 0: no bound
+    std::string image;                   ///< tasks of one image behave alike
     common::milliseconds tail_target{0}; ///< bound on a serving task's own latency; 0: none
-    std::int64_t may_be_away = 0; ///< tasks that planned actions may take away at a time
+    std::int64_t may_be_away = 0;        ///< tasks that planned actions may take away at a time
 
     friend bool operator==(const step&, const step&) = default;
 };
@@ -37,12 +37,12 @@
 /// What a queue's configuration said when a job was accepted; it holds for the job when the queue
 /// is removed later.
 struct queue_terms {
-    std::string pool; ///< whose VMs run the tasks
-    std::int64_t priority = 0; ///< 0 comes first
-    std::int64_t max_attempts = 1; ///< runs of one task that may end failed
-    double stretch = 1.0; ///< the objective's share of the longest chain of work
+    std::string pool;               ///< whose VMs run the tasks
+    std::int64_t priority = 0;      ///< 0 comes first
+    std::int64_t max_attempts = 1;  ///< runs of one task that may end failed
+    double stretch = 1.0;           ///< the objective's share of the longest chain of work
     common::milliseconds target{0}; ///< the objective's fixed part
-    bool advised = false; ///< an outside policy says which VMs may run a step
+    bool advised = false;           ///< an outside policy says which VMs may run a step
 
     friend bool operator==(const queue_terms&, const queue_terms&) = default;
 };
@@ -55,7 +55,7 @@
     queue_terms terms;
     std::string payload; ///< handed to each task unread
     std::vector<step> steps;
-    std::int64_t repeats = 0; ///< occurrences of a timed job; 0: runs once, at once
+    std::int64_t repeats = 0;      ///< occurrences of a timed job; 0: runs once, at once
     std::int64_t first_due_ms = 0; ///< Unix time of occurrence 0
     common::milliseconds interval{0};
     std::int64_t accepted_ms = 0; ///< Unix time at the accepting node
--- a/src/jobs/job_checker.cpp
+++ b/src/jobs/job_checker.cpp
@@ -40,8 +40,8 @@
         return invalid(wanted, "steps is empty");
     }
     if (wanted.repeats < 0 || wanted.repeats > max_occurrences) {
-        return invalid(wanted, "repeats is " + std::to_string(wanted.repeats) +
-                                   "; the limit is " + std::to_string(max_occurrences));
+        return invalid(wanted, "repeats is " + std::to_string(wanted.repeats) + "; the limit is " +
+                                   std::to_string(max_occurrences));
     }
     std::int64_t tasks = 0;
     for (step_index i = 0; i < wanted.steps.size(); ++i) {
--- a/src/jobs/tests/job_tests.cpp
+++ b/src/jobs/tests/job_tests.cpp
@@ -65,7 +65,8 @@
 
     // then
     cr_assert(!checked.has_value());
-    cr_assert(checked.error().detail == "steps[1].after names step 1, which is not an earlier step");
+    cr_assert(checked.error().detail ==
+              "steps[1].after names step 1, which is not an earlier step");
 }
 
 Test(job, a_payload_over_its_size_and_no_steps_are_refused)
@@ -89,7 +90,8 @@
 
     // when, then
     cr_assert(parse_task_id(task.to_string()) == task);
-    for (const char* text : {"", "a", "a.1", "a.1.2", "a.1.2.", "a.1.2.x", "a.1.2.3.4", ".1.2.3", "a.-1.2.3"}) {
+    for (const char* text :
+         {"", "a", "a.1", "a.1.2", "a.1.2.", "a.1.2.x", "a.1.2.3.4", ".1.2.3", "a.-1.2.3"}) {
         cr_assert(!parse_task_id(text).has_value(), "%s", text);
     }
 }
--- a/src/maintenance/tests/wave_planner_tests.cpp
+++ b/src/maintenance/tests/wave_planner_tests.cpp
@@ -1,1 +1,171 @@
 #include <criterion/criterion.h>
+
+#include "maintenance/wave_planner.h"
+
+namespace {
+
+using namespace chervilslip;
+using namespace chervilslip::maintenance;
+using common::milliseconds;
+using fate = wave_planner::order_fate;
+using kind = wave_step::kind;
+
+common::steady_time at(std::int64_t ms)
+{
+    return common::steady_time(std::chrono::hours(1) + milliseconds(ms));
+}
+
+const wave_request two_of_three{1, {"a", "b", "c"}, milliseconds(20000), 2};
+
+std::map<std::string, vm_view> idle_vms(std::int64_t read_ms)
+{
+    std::map<std::string, vm_view> vms;
+    for (const char* name : {"a", "b", "c"}) {
+        vms[name] = {true, true, 0, 0, at(read_ms)};
+    }
+    return vms;
+}
+
+std::vector<std::string> orders_of(const std::vector<wave_step>& steps, kind what)
+{
+    std::vector<std::string> names;
+    for (const wave_step& each : steps) {
+        if (each.what == what) {
+            names.push_back(each.vm);
+        }
+    }
+    return names;
+}
+
+Test(wave_planner, never_takes_down_more_than_the_wave_allows)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.see_waves({two_of_three}, at(0));
+    planner.plan(idle_vms(0), at(0));
+
+    // when
+    const auto first = orders_of(planner.plan(idle_vms(0), at(100)), kind::service_vm);
+    const auto second = orders_of(planner.plan(idle_vms(100), at(200)), kind::service_vm);
+
+    // then
+    cr_assert(first.size() == 2);
+    cr_assert(second.empty());
+}
+
+Test(wave_planner, an_order_without_an_answer_keeps_its_place)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.see_waves({two_of_three}, at(0));
+    planner.plan(idle_vms(0), at(0));
+    const auto first = orders_of(planner.plan(idle_vms(0), at(100)), kind::service_vm);
+
+    // when: both are unanswered
+    for (const std::string& vm : first) {
+        planner.take_order(1, vm, fate::unknown, at(150));
+    }
+    const auto at_once = orders_of(planner.plan(idle_vms(150), at(200)), kind::service_vm);
+    const auto later = orders_of(planner.plan(idle_vms(500), at(600)), kind::service_vm);
+
+    // then: the same VMs are asked again, no third one
+    cr_assert(at_once.empty());
+    cr_assert(later == first);
+}
+
+Test(wave_planner, a_vm_with_lasting_work_is_emptied_first)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.see_waves({{1, {"a"}, milliseconds(20000), 1}}, at(0));
+    auto vms = idle_vms(0);
+    vms["a"].lasting = 1;
+    planner.plan(vms, at(0));
+
+    // when
+    const auto steps = planner.plan(vms, at(60000));
+
+    // then: not even lateness ends a lasting task against its budget
+    cr_assert(orders_of(steps, kind::service_vm).empty());
+    cr_assert(orders_of(steps, kind::empty_vm).size() == 1);
+}
+
+Test(wave_planner, other_work_may_end_within_its_patience)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.see_waves({{1, {"a"}, milliseconds(20000), 1}}, at(0));
+    auto vms = idle_vms(0);
+    vms["a"].others = 3;
+    planner.plan(vms, at(0));
+
+    // when, then
+    cr_assert(orders_of(planner.plan(vms, at(1000)), kind::service_vm).empty());
+    cr_assert(orders_of(planner.plan(vms, at(4000)), kind::service_vm).size() == 1);
+}
+
+Test(wave_planner, a_wave_is_completed_when_every_vm_that_stays_has_begun)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.see_waves({{1, {"a", "gone"}, milliseconds(20000), 2}}, at(0));
+    planner.plan(idle_vms(0), at(0));
+    planner.take_report(1, false, true);
+    cr_assert(orders_of(planner.plan(idle_vms(100), at(100)), kind::service_vm).size() == 1);
+
+    // when: "a" has begun, "gone" is not in the list
+    planner.take_order(1, "a", fate::accepted, at(120));
+    const auto before = planner.plan(idle_vms(200), at(200));
+    const auto after = planner.plan(idle_vms(6000), at(6000));
+
+    // then
+    cr_assert(orders_of(before, kind::report_completed).empty());
+    cr_assert(orders_of(after, kind::report_completed).size() == 1);
+}
+
+Test(wave_planner, a_later_holder_repeats_nothing_that_is_done)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.restore(1, {"a", "b"}, false);
+    planner.restore(2, {"a"}, true);
+    planner.see_waves({two_of_three, {2, {"a"}, milliseconds(20000), 1}}, at(0));
+
+    // when
+    std::vector<std::string> emptied;
+    std::vector<std::string> reports;
+    for (std::int64_t ms = 0; ms < 1000; ms += 100) {
+        const auto steps = planner.plan(idle_vms(ms), at(ms));
+        for (const std::string& vm : orders_of(steps, kind::empty_vm)) {
+            emptied.push_back(vm);
+        }
+        for (const wave_step& each : steps) {
+            if (each.wave == 2) {
+                reports.push_back(each.vm);
+            }
+        }
+    }
+
+    // then
+    cr_assert(reports.empty());
+    cr_assert(std::all_of(emptied.begin(), emptied.end(),
+                          [](const std::string& vm) { return vm == "c"; }));
+}
+
+Test(wave_planner, a_serviced_vm_is_released)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.see_waves({{1, {"a"}, milliseconds(20000), 1}}, at(0));
+    planner.plan(idle_vms(0), at(0));
+    planner.plan(idle_vms(100), at(100));
+    planner.take_order(1, "a", fate::accepted, at(110));
+
+    // when
+    const auto steps = planner.plan(idle_vms(3000), at(3000));
+
+    // then
+    cr_assert(orders_of(steps, kind::release_vm).size() == 1);
+}
+
+} // namespace
--- a/src/maintenance/wave_planner.cpp
+++ b/src/maintenance/wave_planner.cpp
@@ -89,9 +89,9 @@
             }
             continue;
         }
-        const bool over = now - vm.since >= this->options.service_time &&
-                          listed->second.read_at >
-                              vm.since + this->options.service_time + this->options.list_lag;
+        const bool over =
+            now - vm.since >= this->options.service_time &&
+            listed->second.read_at > vm.since + this->options.service_time + this->options.list_lag;
         if (vm.phase == vm_phase::down && listed->second.up && over) {
             vm.phase = vm_phase::serviced;
             vm.since = now;
@@ -140,8 +140,7 @@
             continue;
         }
         const bool impatient = now - vm.since > this->options.patience;
-        const bool empty =
-            seen->second.lasting == 0 && (seen->second.others == 0 || impatient);
+        const bool empty = seen->second.lasting == 0 && (seen->second.others == 0 || impatient);
         const bool slot = down < wave.request.most_down || vm.maybe_begun;
         if (empty && slot && now >= vm.retry_at) {
             down += vm.maybe_begun ? 0 : 1;
@@ -201,8 +200,7 @@
     }
     found->second.report_open = false;
     found->second.running_reported = found->second.running_reported || written;
-    found->second.completed_reported =
-        found->second.completed_reported || (completed && written);
+    found->second.completed_reported = found->second.completed_reported || (completed && written);
 }
 
 bool wave_planner::is_wanted(const std::string& vm) const
--- a/src/maintenance/wave_planner.h
+++ b/src/maintenance/wave_planner.h
@@ -69,8 +69,7 @@
     void see_waves(const std::vector<wave_request>& asked, common::steady_time now);
 
     /// Returns what is to be done now. `vms` has every VM of the platform's list.
-    std::vector<wave_step> plan(const std::map<std::string, vm_view>& vms,
-                                common::steady_time now);
+    std::vector<wave_step> plan(const std::map<std::string, vm_view>& vms, common::steady_time now);
 
     /// Takes the answer to an order. A refusal for good takes the VM out of the wave.
     enum class order_fate { accepted, refused_for_good, try_later, unknown };
--- a/src/ownership/claim_keeper.h
+++ b/src/ownership/claim_keeper.h
@@ -22,11 +22,11 @@
 
 /// Times of a claim.
 struct claim_options {
-    common::milliseconds time_to_live{1500};  ///< a dead owner is replaced within this and an answer
-    common::milliseconds renew_period{350};   ///< several tries fit into one life
-    common::milliseconds retry_period{200};   ///< after a failed call
-    common::milliseconds clock_margin{60};    ///< the lease counts as lost this much earlier
-    std::int64_t most_delay_ms = 40;          ///< nodes try for a free claim spread over this time
+    common::milliseconds time_to_live{1500}; ///< a dead owner is replaced within this and an answer
+    common::milliseconds renew_period{350};  ///< several tries fit into one life
+    common::milliseconds retry_period{200};  ///< after a failed call
+    common::milliseconds clock_margin{60};   ///< the lease counts as lost this much earlier
+    std::int64_t most_delay_ms = 40;         ///< nodes try for a free claim spread over this time
 
     friend bool operator==(const claim_options&, const claim_options&) = default;
 };
--- a/src/scheduling/cell_dispatch.cpp
+++ b/src/scheduling/cell_dispatch.cpp
@@ -35,8 +35,7 @@
         return {0, terms.priority, static_cast<double>(of.what.accepted_ms)};
     }
     std::int64_t occurrence = 0;
-    while (occurrence + 1 < of.what.occurrences() &&
-           of.what.due_ms(occurrence + 1) <= unix_ms) {
+    while (occurrence + 1 < of.what.occurrences() && of.what.due_ms(occurrence + 1) <= unix_ms) {
         ++occurrence;
     }
     const auto chain = static_cast<double>(this->chain_of(of).count());
@@ -182,10 +181,9 @@
             continue;
         }
         const auto taken = reserved.find(id);
-        const neighbour_count neighbours{on_vm.contains(id) ? on_vm[id] : 0,
-                                         wanted.spread && on_rack.contains(worker.entry.rack)
-                                             ? on_rack[worker.entry.rack]
-                                             : 0};
+        const neighbour_count neighbours{
+            on_vm.contains(id) ? on_vm[id] : 0,
+            wanted.spread && on_rack.contains(worker.entry.rack) ? on_rack[worker.entry.rack] : 0};
         const auto cost =
             placement_cost(worker, wanted, neighbours,
                            taken == reserved.end() ? teams::resources{} : taken->second, now);
--- a/src/scheduling/cell_workers.cpp
+++ b/src/scheduling/cell_workers.cpp
@@ -124,7 +124,9 @@
     order.worker = at.entry.life;
     order.address = at.entry.address;
     order.acknowledged = at.acknowledged;
-    if (at.answered) {
+    // A look that is not answered may still extend leases later, so a silent worker is only asked
+    // what runs: else its runs could never be taken as ended.
+    if (at.answered && at.missed_looks == 0) {
         order.deadline_ms = this->deadline_for(at, now, this->options.hold_time);
         at.extend(*order.deadline_ms);
         order.wait = at.pending.empty() ? this->options.look_wait : common::milliseconds{0};
@@ -164,6 +166,7 @@
         this->note(decision_note::kind::worker_trusted, at->entry.life.id,
                    "after " + std::to_string(at->missed_looks) + " missed looks");
     }
+    const bool was_silent = at->missed_looks > 0;
     at->missed_looks = 0;
     const bool first = !at->answered;
     at->answered = true;
@@ -178,7 +181,8 @@
     at->acknowledge_durable();
     this->match_running(*at, answer, now);
     this->match_missing(*at, answer, now);
-    at->next_look = first ? now : now + (at->pending.empty() ? look_gap : look_gap_unwritten);
+    at->next_look =
+        first || was_silent ? now : now + (at->pending.empty() ? look_gap : look_gap_unwritten);
     this->dispatch_due = this->dispatch_due || first;
 }
 
@@ -229,8 +233,8 @@
         }
         const open_run& run = this->open_runs.at(task);
         const bool ended = run.phase == run_phase::running && answer.sent_at > run.confirmed_at;
-        const bool too_late = run.phase == run_phase::unanswered &&
-                              answer.report.clock_ms > run.start_deadline_ms;
+        const bool too_late =
+            run.phase == run_phase::unanswered && answer.report.clock_ms > run.start_deadline_ms;
         // The worker has seen this owner's token, so an earlier owner's start is refused now.
         const bool never_began = run.phase == run_phase::inherited;
         if (ended || too_late || never_began) {
@@ -293,8 +297,7 @@
         return;
     }
     which.stop_sent = now;
-    this->actions.emplace_back(
-        stop_order{which.worker, at->second.entry.address, task, which.run});
+    this->actions.emplace_back(stop_order{which.worker, at->second.entry.address, task, which.run});
 }
 
 void cell::take_stop(const order_answer& answer, common::steady_time now)
@@ -371,10 +374,10 @@
     if (found == this->workers.end()) {
         return 0;
     }
-    return std::count_if(found->second.runs.begin(), found->second.runs.end(),
-                         [this](const jobs::task_id& task) {
-                             return this->jobs_by_id.at(task.job).what.steps.at(task.step).long_running;
-                         });
+    return std::count_if(
+        found->second.runs.begin(), found->second.runs.end(), [this](const jobs::task_id& task) {
+            return this->jobs_by_id.at(task.job).what.steps.at(task.step).long_running;
+        });
 }
 
 } // namespace chervilslip::scheduling
--- a/src/scheduling/duration_book.cpp
+++ b/src/scheduling/duration_book.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr double newest_part = 0.05;     ///< weight of one sample: about the last twenty count
-constexpr double trusted_samples = 5.0;  ///< from here on the declared time is ignored
+constexpr double newest_part = 0.05;    ///< weight of one sample: about the last twenty count
+constexpr double trusted_samples = 5.0; ///< from here on the declared time is ignored
 
 } // namespace
 
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -51,12 +51,12 @@
 
 /// Bounds and periods of one cell.
 struct cell_options {
-    std::int64_t token = 0;                  ///< fences older owners at the workers
-    common::milliseconds hold_time{5000};    ///< lease given to what runs; below the workers' most
-    common::milliseconds start_limit{900};   ///< a start that arrives later is refused
-    common::milliseconds look_wait{1500};    ///< how long a look waits for an end
+    std::int64_t token = 0;                ///< fences older owners at the workers
+    common::milliseconds hold_time{5000};  ///< lease given to what runs; below the workers' most
+    common::milliseconds start_limit{900}; ///< a start that arrives later is refused
+    common::milliseconds look_wait{1500};  ///< how long a look waits for an end
     common::milliseconds inherited_hold{6300}; ///< an earlier owner's leases end within this time
-    common::milliseconds stop_grace{900};    ///< a stop takes at most this
+    common::milliseconds stop_grace{900};      ///< a stop takes at most this
 
     friend bool operator==(const cell_options&, const cell_options&) = default;
 };
@@ -65,9 +65,9 @@
 struct look_order {
     worker_life worker;
     std::string address;
-    std::int64_t acknowledged = 0;             ///< ends up to this number are durable
-    std::optional<std::int64_t> deadline_ms;   ///< new end of all leases, on the worker's clock
-    common::milliseconds wait{0};              ///< how long the answer may wait for an end
+    std::int64_t acknowledged = 0;           ///< ends up to this number are durable
+    std::optional<std::int64_t> deadline_ms; ///< new end of all leases, on the worker's clock
+    common::milliseconds wait{0};            ///< how long the answer may wait for an end
 
     friend bool operator==(const look_order&, const look_order&) = default;
 };
--- a/src/scheduling/progress.cpp
+++ b/src/scheduling/progress.cpp
@@ -79,8 +79,8 @@
 
 std::string encode_progress(const job_progress& value)
 {
-    const json row = json::array({static_cast<int>(value.state), value.ended_ms,
-                                  tasks_to_json(value)});
+    const json row =
+        json::array({static_cast<int>(value.state), value.ended_ms, tasks_to_json(value)});
     std::string bytes;
     json::to_msgpack(row, bytes);
     return bytes;
--- a/src/store/prefix_follower.cpp
+++ b/src/store/prefix_follower.cpp
@@ -7,8 +7,8 @@
 class prefix_follower::implementation final
     : public std::enable_shared_from_this<prefix_follower::implementation> {
 public:
-    implementation(boost::asio::io_context& io, transactional_store& from, std::string wanted_prefix,
-                   follower_options wanted, follower_hooks wanted_hooks)
+    implementation(boost::asio::io_context& io, transactional_store& from,
+                   std::string wanted_prefix, follower_options wanted, follower_hooks wanted_hooks)
         : timer(io), source(from), prefix(std::move(wanted_prefix)), options(wanted),
           hooks(std::move(wanted_hooks))
     {
@@ -82,13 +82,16 @@
     {
         if (!page) {
             const bool history_gone = page.error().code == common::errc::expired;
-            this->fail(page.error(), [this, history_gone] {
-                if (history_gone) {
-                    this->read_all();
-                } else {
-                    this->watch_next();
-                }
-            }, history_gone);
+            this->fail(
+                page.error(),
+                [this, history_gone] {
+                    if (history_gone) {
+                        this->read_all();
+                    } else {
+                        this->watch_next();
+                    }
+                },
+                history_gone);
             return;
         }
         for (change& each : page.value().changes) {
--- a/src/store/prefix_follower.h
+++ b/src/store/prefix_follower.h
@@ -23,7 +23,7 @@
 
 /// How a follower waits.
 struct follower_options {
-    common::milliseconds wait{1000};       ///< of one watch; bounds how long a silent one is trusted
+    common::milliseconds wait{1000}; ///< of one watch; bounds how long a silent one is trusted
     common::milliseconds retry_delay{150}; ///< after a failed call
 
     friend bool operator==(const follower_options&, const follower_options&) = default;
--- a/src/store/transactional_store.h
+++ b/src/store/transactional_store.h
@@ -32,7 +32,7 @@
 
 /// A change of one key.
 struct change {
-    item now;             ///< key and revision alone when removed
+    item now; ///< key and revision alone when removed
     bool removed = false;
 
     friend bool operator==(const change&, const change&) = default;
@@ -77,8 +77,8 @@
 /// What became of a transaction.
 struct commit_outcome {
     bool committed = false;
-    std::int64_t revision = 0;  ///< when committed
-    std::vector<item> current;  ///< otherwise: the items of `expected` as they are
+    std::int64_t revision = 0; ///< when committed
+    std::vector<item> current; ///< otherwise: the items of `expected` as they are
 
     friend bool operator==(const commit_outcome&, const commit_outcome&) = default;
 };
