--- a/src/daemon/fleet_keeper.cpp
+++ b/src/daemon/fleet_keeper.cpp
@@ -26,7 +26,7 @@
 
 fleet_keeper::fleet_keeper(fleet_parts with, fleet::order_fence under, common::steady_time won_at)
     : parts(with), fence(std::move(under)), orders_from(won_at + holder_gap),
-      planner(maintenance::wave_options{})
+      planner(maintenance::wave_options{}), pools(fleet::pool_options{})
 {
     this->read_earlier({});
 }
@@ -120,6 +120,88 @@
     for (const maintenance::wave_step& step : this->planner.plan(this->view(), now)) {
         this->carry_out(step, now);
     }
+    this->plan_pools(now);
+}
+
+std::map<std::string, fleet::vm_fact> fleet_keeper::facts() const
+{
+    std::map<std::string, fleet::vm_fact> known;
+    for (const fleet::fleet_vm& vm : this->vms) {
+        fleet::vm_fact& fact = known[vm.name];
+        fact.pool = vm.pool;
+        fact.processors = vm.processors;
+        fact.held = this->planner.is_busy_with(vm.name);
+        const bool parked = this->configuration->standby_pools.contains(vm.pool);
+        fact.up = vm.state == fleet::vm_state::up && parked;
+    }
+    for (const auto& [id, worker] : this->parts.cell.all_workers()) {
+        const auto found = known.find(worker.entry.vm);
+        if (found == known.end() || !worker.listed) {
+            continue;
+        }
+        fleet::vm_fact& fact = found->second;
+        fact.pool = worker.entry.pool;
+        fact.up = worker.answered && worker.missed_looks == 0;
+        fact.held = fact.held || worker.entry.draining;
+        fact.idle = worker.runs.empty();
+        fact.idle_since = worker.idle_since;
+    }
+    return known;
+}
+
+void fleet_keeper::plan_pools(common::steady_time now)
+{
+    if (!this->configuration) {
+        return;
+    }
+    const auto& standby = this->configuration->standby_pools;
+    const std::string parking = standby.empty() ? std::string{} : *standby.begin();
+    for (const fleet::vm_move& move :
+         this->pools.plan(this->parts.cell.demand(), this->facts(), parking, now)) {
+        this->order_move(move);
+    }
+}
+
+void fleet_keeper::cordon_vm(const std::string& vm, bool cordoned)
+{
+    for (const auto& [id, worker] : this->parts.cell.all_workers()) {
+        if (worker.entry.vm == vm && worker.listed) {
+            this->parts.cell.set_cordon(id, cordoned);
+        }
+    }
+}
+
+void fleet_keeper::evacuate_vm(const std::string& vm, common::steady_time now)
+{
+    for (const auto& [id, worker] : this->parts.cell.all_workers()) {
+        if (worker.entry.vm == vm && worker.listed) {
+            this->parts.cell.evacuate(id, now);
+        }
+    }
+}
+
+void fleet_keeper::order_move(const fleet::vm_move& move)
+{
+    this->cordon_vm(move.vm, true);
+    const std::weak_ptr<int> alive = this->life;
+    this->parts.machines.move(
+        move.vm, move.to, this->fence, [this, alive, move](fleet::vm_verdict verdict) {
+            if (alive.expired()) {
+                return;
+            }
+            const bool accepted = verdict == fleet::vm_verdict::accepted;
+            this->parts.log.write(accepted ? event_id::vm_ordered : event_id::vm_order_failed,
+                                  {{"vm", move.vm},
+                                   {"order", "move"},
+                                   {"to", move.to},
+                                   {"token", this->fence.token},
+                                   {"outcome", fleet::to_string(verdict)}});
+            // Without an answer the VM may still go: it stays out of use until it is seen again.
+            if (!accepted && verdict != fleet::vm_verdict::unknown) {
+                this->pools.forget_move(move.vm);
+                this->cordon_vm(move.vm, false);
+            }
+        });
 }
 
 void fleet_keeper::read_list(common::steady_time now)
@@ -170,13 +252,9 @@
     switch (step.what) {
     case kind::empty_vm:
     case kind::release_vm:
-        for (const auto& [id, worker] : this->parts.cell.all_workers()) {
-            if (worker.entry.vm == step.vm && worker.listed) {
-                this->parts.cell.set_cordon(id, step.what == kind::empty_vm);
-                if (step.what == kind::empty_vm) {
-                    this->parts.cell.evacuate(id, now);
-                }
-            }
+        this->cordon_vm(step.vm, step.what == kind::empty_vm);
+        if (step.what == kind::empty_vm) {
+            this->evacuate_vm(step.vm, now);
         }
         break;
     case kind::service_vm:
--- a/src/daemon/fleet_keeper.h
+++ b/src/daemon/fleet_keeper.h
@@ -5,6 +5,7 @@
 #include "common/event_log.h"
 #include "daemon/fleet_configuration.h"
 #include "fleet/machine_port.h"
+#include "fleet/pool_planner.h"
 #include "maintenance/wave_planner.h"
 #include "scheduling/cell.h"
 #include "store/transactional_store.h"
@@ -21,8 +22,8 @@
     scheduling::cell& cell;
 };
 
-/// Orders VMs into upkeep while its node owns the fleet. Lives as long as one claim. Not thread
-/// safe: used on the io_context's thread.
+/// Orders VMs into upkeep and between pools while its node owns the fleet. Lives as long as one
+/// claim. Not thread safe: used on the io_context's thread.
 class fleet_keeper {
 public:
     /// `won_at` is when the claim was won: orders wait until an earlier holder gives none any more.
@@ -41,6 +42,11 @@
     void read_list(common::steady_time now);
     void carry_out(const maintenance::wave_step& step, common::steady_time now);
     void order_service(const maintenance::wave_step& step);
+    void plan_pools(common::steady_time now);
+    void order_move(const fleet::vm_move& move);
+    void evacuate_vm(const std::string& vm, common::steady_time now);
+    void cordon_vm(const std::string& vm, bool cordoned);
+    [[nodiscard]] std::map<std::string, fleet::vm_fact> facts() const;
     void report(const maintenance::wave_step& step);
     [[nodiscard]] std::map<std::string, maintenance::vm_view> view() const;
 
@@ -51,6 +57,7 @@
     maintenance::wave_planner planner;
     std::vector<maintenance::wave_request> waves;
     bool earlier_read = false; ///< what an earlier holder has done is known
+    fleet::pool_planner pools;
     std::vector<fleet::fleet_vm> vms;
     common::steady_time list_asked_at;
     common::steady_time next_list;
--- a/src/fleet/machine_port.h
+++ b/src/fleet/machine_port.h
@@ -19,6 +19,7 @@
     std::string zone;
     std::string worker; ///< id of the life that runs on it; empty: none is known
     std::string rack;
+    std::int64_t processors = 0; ///< thousandths
 
     friend bool operator==(const fleet_vm&, const fleet_vm&) = default;
 };
--- /dev/null
+++ b/src/fleet/tests/pool_planner_tests.cpp
@@ -0,0 +1,105 @@
+#include <criterion/criterion.h>
+
+#include "fleet/pool_planner.h"
+
+namespace {
+
+using namespace chervilslip;
+using namespace chervilslip::fleet;
+using common::milliseconds;
+
+common::steady_time at(std::int64_t ms)
+{
+    return common::steady_time(std::chrono::hours(1) + milliseconds(ms));
+}
+
+constexpr std::int64_t vm_processors = 10000;
+
+vm_fact idle_vm(const std::string& pool, std::int64_t since_ms = 0)
+{
+    return {pool, vm_processors, true, false, true, at(since_ms)};
+}
+
+Test(pool_planner, lends_idle_vms_before_it_wakes_parked_ones)
+{
+    // given: pool "a" asks for two VMs and has none, "b" has one idle, one is parked
+    pool_planner planner(pool_options{});
+    const std::map<std::string, vm_fact> vms{{"vm-1", idle_vm("b")}, {"vm-2", idle_vm("spare")}};
+    const std::map<std::string, pool_demand> demand{{"a", {0, 0, 15000}}, {"b", {}}};
+
+    // when
+    const auto moves = planner.plan(demand, vms, "spare", at(1000));
+
+    // then
+    cr_assert(moves == (std::vector<vm_move>{{"vm-1", "a"}, {"vm-2", "a"}}));
+    cr_assert(planner.is_moving("vm-1"));
+}
+
+Test(pool_planner, takes_nothing_from_a_pool_that_needs_it)
+{
+    // given
+    pool_planner planner(pool_options{});
+    const std::map<std::string, vm_fact> vms{{"vm-1", idle_vm("b")}};
+    const std::map<std::string, pool_demand> demand{{"a", {0, 0, 5000}}, {"b", {0, 0, 5000}}};
+
+    // when, then
+    cr_assert(planner.plan(demand, vms, "spare", at(1000)).empty());
+}
+
+Test(pool_planner, parks_a_vm_only_after_it_was_idle_for_a_while)
+{
+    // given
+    pool_planner planner(pool_options{});
+    const std::map<std::string, vm_fact> vms{{"vm-1", idle_vm("a")}};
+    const std::map<std::string, pool_demand> demand{{"a", {}}};
+
+    // when, then
+    cr_assert(planner.plan(demand, vms, "spare", at(500)).empty());
+    cr_assert(planner.plan(demand, vms, "spare", at(2500)) ==
+              (std::vector<vm_move>{{"vm-1", "spare"}}));
+}
+
+Test(pool_planner, leaves_busy_and_held_vms_alone)
+{
+    // given
+    pool_planner planner(pool_options{});
+    vm_fact busy = idle_vm("b");
+    busy.idle = false;
+    vm_fact held = idle_vm("b");
+    held.held = true;
+    const std::map<std::string, vm_fact> vms{{"vm-1", busy}, {"vm-2", held}};
+
+    // when, then
+    cr_assert(planner.plan({{"a", {0, 0, 50000}}}, vms, "spare", at(9000)).empty());
+}
+
+Test(pool_planner, counts_a_vm_on_its_way)
+{
+    // given
+    pool_planner planner(pool_options{});
+    const std::map<std::string, vm_fact> vms{{"vm-1", idle_vm("spare")},
+                                             {"vm-2", idle_vm("spare")}};
+    const std::map<std::string, pool_demand> demand{{"a", {0, 0, 5000}}};
+
+    // when
+    const auto first = planner.plan(demand, vms, "spare", at(1000));
+    const auto second = planner.plan(demand, vms, "spare", at(1100));
+
+    // then
+    cr_assert(first.size() == 1);
+    cr_assert(second.empty());
+}
+
+Test(pool_planner, remembers_demand_for_a_moment)
+{
+    // given: demand is gone, but was there half a second ago
+    pool_planner planner(pool_options{});
+    const std::map<std::string, vm_fact> vms{{"vm-1", idle_vm("a")}};
+    planner.plan({{"a", {0, 5000, 0}}}, vms, "spare", at(4000));
+
+    // when, then
+    cr_assert(planner.plan({{"a", {}}}, vms, "spare", at(4500)).empty());
+    cr_assert(planner.plan({{"a", {}}}, vms, "spare", at(5500)).size() == 1);
+}
+
+} // namespace
--- a/src/maintenance/wave_planner.cpp
+++ b/src/maintenance/wave_planner.cpp
@@ -203,12 +203,13 @@
     found->second.completed_reported = found->second.completed_reported || (completed && written);
 }
 
-bool wave_planner::is_wanted(const std::string& vm) const
+bool wave_planner::is_busy_with(const std::string& vm) const
 {
     return std::any_of(this->waves.begin(), this->waves.end(), [&vm](const auto& each) {
         const auto found = each.second.vms.find(vm);
         return found != each.second.vms.end() && !each.second.completed_reported &&
-               found->second.phase != vm_phase::serviced && found->second.phase != vm_phase::left;
+               (found->second.phase == vm_phase::emptying ||
+                found->second.phase == vm_phase::ordered || found->second.phase == vm_phase::down);
     });
 }
 
--- a/src/maintenance/wave_planner.h
+++ b/src/maintenance/wave_planner.h
@@ -82,8 +82,8 @@
     /// Returns the VMs of a wave that have begun their upkeep.
     [[nodiscard]] std::set<std::string> serviced_of(std::int64_t wave) const;
 
-    /// Tells whether a VM belongs to a wave that is not completed and still needs its upkeep.
-    [[nodiscard]] bool is_wanted(const std::string& vm) const;
+    /// Tells whether a VM is being emptied or serviced now.
+    [[nodiscard]] bool is_busy_with(const std::string& vm) const;
 
 private:
     enum class vm_phase { waiting, emptying, ordered, down, serviced, left };
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -157,6 +157,9 @@
                 }
                 boost::system::error_code ignored;
                 self->stream->socket().set_option(tcp::no_delay(true), ignored);
+                // A call that is given up is reset: bytes that a cut network still holds must not
+                // arrive once it heals, because others may have acted in the meantime.
+                self->stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
                 self->send();
             });
     }
--- a/src/scheduling/cell.h
+++ b/src/scheduling/cell.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "common/random.h"
+#include "fleet/pool_planner.h"
 #include "scheduling/duration_book.h"
 #include "scheduling/progress.h"
 #include "scheduling/worker_book.h"
@@ -99,14 +100,8 @@
     /// Tells whether a worker has refused this owner's token: a newer owner exists.
     [[nodiscard]] bool is_fenced() const;
 
-    /// What a pool's queues ask for, in thousandths of a processor.
-    struct pool_demand {
-        std::int64_t waiting = 0; ///< tasks whose turn has come
-        std::int64_t running = 0;
-
-        friend bool operator==(const pool_demand&, const pool_demand&) = default;
-    };
-    [[nodiscard]] std::map<std::string, pool_demand> demand() const;
+    /// Returns what each pool's queues ask for; tasks beyond their team's limit are left out.
+    [[nodiscard]] std::map<std::string, fleet::pool_demand> demand() const;
 
     /// Returns how many runs of lasting tasks may exist on a worker.
     [[nodiscard]] std::int64_t lasting_runs(const std::string& worker) const;
@@ -185,6 +180,8 @@
     void close_run(const jobs::task_id& task);
     void lose_run(const jobs::task_id& task, std::string_view why, common::steady_time now);
 
+    [[nodiscard]] std::int64_t room_under_limit(const std::string& team) const;
+
     // cell_workers.cpp: workers, looks and orders
     worker_state* find_worker(const worker_life& life);
     void see_worker(const worker_entry& entry, common::steady_time now);
@@ -208,6 +205,7 @@
                                 const std::map<std::string, teams::resources>& reserved,
                                 const std::string& rack, common::steady_time now,
                                 const ticket_book* tickets);
+    [[nodiscard]] bool is_at_work(const open_run& run) const;
     [[nodiscard]] bool may_take_away(const active_job& of, const jobs::task_id& task) const;
     [[nodiscard]] bool within_limit(const std::string& team, const teams::resources& more) const;
     void plan_run(active_job& of, const jobs::task_id& task, std::int64_t run, worker_state& at,
--- a/src/scheduling/cell_dispatch.cpp
+++ b/src/scheduling/cell_dispatch.cpp
@@ -378,6 +378,13 @@
     this->actions.emplace_back(std::move(order));
 }
 
+bool cell::is_at_work(const open_run& run) const
+{
+    const auto at = this->workers.find(run.worker.id);
+    return run.phase == run_phase::running && !run.stop_sent && run.percent >= full_speed_percent &&
+           at != this->workers.end() && at->second.missed_looks == 0;
+}
+
 bool cell::may_take_away(const active_job& of, const jobs::task_id& task) const
 {
     const jobs::step& step = of.what.steps.at(task.step);
@@ -385,9 +392,7 @@
     std::int64_t away = 0;
     for (std::int64_t i = 0; i < step.count; ++i) {
         const auto run = this->open_runs.find({task.job, task.occurrence, task.step, i});
-        const bool at_work = run != this->open_runs.end() &&
-                             run->second.phase == run_phase::running && !run->second.stop_sent &&
-                             run->second.percent >= full_speed_percent;
+        const bool at_work = run != this->open_runs.end() && this->is_at_work(run->second);
         away += i != task.index && !at_work ? 1 : 0;
     }
     return away < allowed;
--- a/src/scheduling/cell_jobs.cpp
+++ b/src/scheduling/cell_jobs.cpp
@@ -1,6 +1,8 @@
 // The life of jobs and of the runs of their tasks.
 #include "scheduling/cell.h"
 
+#include <limits>
+
 namespace chervilslip::scheduling {
 
 cell::active_job* cell::find_job(const std::string& id)
@@ -205,6 +207,7 @@
     const auto at = this->workers.find(run->second.worker.id);
     if (at != this->workers.end() && at->second.runs.erase(task) > 0) {
         at->second.used -= freed;
+        at->second.idle_since = this->last_now;
     }
     std::erase_if(this->planned_starts,
                   [&task](const planned_start& each) { return each.first == task; });
@@ -323,23 +326,46 @@
     static_cast<void>(now);
 }
 
-std::map<std::string, cell::pool_demand> cell::demand() const
+std::int64_t cell::room_under_limit(const std::string& team) const
+{
+    const auto found = this->rules.teams.find(team);
+    if (found == this->rules.teams.end() || found->second.limit.processors == 0) {
+        return std::numeric_limits<std::int64_t>::max();
+    }
+    const auto used = this->team_use.find(team);
+    return found->second.limit.processors -
+           (used == this->team_use.end() ? 0 : used->second.processors);
+}
+
+std::map<std::string, fleet::pool_demand> cell::demand() const
 {
-    std::map<std::string, pool_demand> pools;
+    std::map<std::string, fleet::pool_demand> pools;
+    std::map<std::string, std::int64_t> room;
     for (const auto& [id, job] : this->jobs_by_id) {
         if (jobs::is_final(job.progress.state)) {
             continue;
         }
-        pool_demand& pool = pools[this->terms_of(job).pool];
+        fleet::pool_demand& pool = pools[this->terms_of(job).pool];
+        const auto left =
+            room.try_emplace(job.what.team, this->room_under_limit(job.what.team)).first;
         for (std::size_t k = 0; k < job.counts.size(); ++k) {
             if (job.what.due_ms(static_cast<std::int64_t>(k)) > this->last_unix_ms) {
                 continue;
             }
             for (std::size_t s = 0; s < job.counts[k].size(); ++s) {
+                const step_count& counts = job.counts[k][s];
                 const std::int64_t each = footprint(job.what.steps[s]).processors;
-                pool.running += job.counts[k][s].open * each;
-                if (this->step_ready(job, static_cast<std::int64_t>(k), s)) {
-                    pool.waiting += job.counts[k][s].waiting * each;
+                const bool ready = this->step_ready(job, static_cast<std::int64_t>(k), s);
+                const std::int64_t waiting =
+                    ready ? std::clamp<std::int64_t>(counts.waiting * each, 0,
+                                                     std::max<std::int64_t>(left->second, 0))
+                          : 0;
+                left->second -= waiting;
+                if (job.what.steps[s].long_running) {
+                    pool.lasting += counts.open * each + waiting;
+                } else {
+                    pool.running += counts.open * each;
+                    pool.waiting += waiting;
                 }
             }
         }
--- a/src/scheduling/tests/cell_tests.cpp
+++ b/src/scheduling/tests/cell_tests.cpp
@@ -504,6 +504,34 @@
     cr_assert(cell.stops.size() == 1);
 }
 
+Test(cell, a_task_on_a_silent_worker_counts_as_away)
+{
+    // given: two lasting tasks at work, one of which may be away
+    fixture cell;
+    cell.greet_all();
+    jobs::job job = make_job("j1", 2);
+    job.steps[0].long_running = true;
+    job.steps[0].may_be_away = 1;
+    job.steps[0].max_per_vm = 1;
+    cell.take_job(job);
+    for (const start_order& each : std::vector(cell.starts)) {
+        cell.answer_start(each, verdict::accepted);
+    }
+    cell.now_ms += 1500;
+    for (const start_order& each : std::vector(cell.starts)) {
+        cell.answer_look(each.worker.id, {fixture::running(each)});
+    }
+
+    // when
+    cell.run(cell.now_ms + 100);
+    cell.fail_look("w2");
+    cell.decides.evacuate("w1", cell.now());
+    cell.run(cell.now_ms + 10);
+
+    // then
+    cr_assert(cell.stops.empty());
+}
+
 Test(cell, a_gang_starts_whole_or_not_at_all)
 {
     // given: room for eight, a gang of nine and one of three
