--- a/src/daemon/cell_host.cpp
+++ b/src/daemon/cell_host.cpp
@@ -24,6 +24,7 @@
 
 /// The owner learns of accepted jobs by hints; this watch is for those whose hint was lost.
 constexpr common::milliseconds input_wait{1000};
+constexpr common::milliseconds input_pause{400};
 
 nlohmann::json claim_value(const std::string& holder, const std::string& address)
 {
@@ -196,7 +197,7 @@
     };
     this->claim_follower = std::make_unique<store::prefix_follower>(
         this->parts.context, this->parts.store, std::string(store_keys::claim),
-        store::follower_options{claim_wait, read_retry}, std::move(hooks));
+        store::follower_options{claim_wait, read_retry, {}}, std::move(hooks));
     this->claim_follower->start();
 }
 
@@ -389,7 +390,7 @@
     };
     this->input_follower = std::make_unique<store::prefix_follower>(
         this->parts.context, this->parts.store, std::string(store_keys::input),
-        store::follower_options{input_wait, read_retry}, std::move(hooks));
+        store::follower_options{input_wait, read_retry, input_pause}, std::move(hooks));
     this->input_follower->start();
 }
 
--- a/src/fleet/pool_planner.cpp
+++ b/src/fleet/pool_planner.cpp
@@ -35,6 +35,17 @@
         ->need;
 }
 
+bool pool_planner::is_stuck(const std::string& pool, const pool_demand& demand,
+                            common::steady_time now)
+{
+    if (!demand.lasting_waits) {
+        this->stuck_since.erase(pool);
+        return false;
+    }
+    const auto since = this->stuck_since.try_emplace(pool, now).first->second;
+    return now - since >= this->options.stuck_after;
+}
+
 std::vector<vm_move> pool_planner::plan(const std::map<std::string, pool_demand>& demand,
                                         const std::map<std::string, vm_fact>& vms,
                                         const std::string& standby, common::steady_time now)
@@ -69,6 +80,12 @@
     std::sort(idle.begin(), idle.end(), [](const auto& left, const auto& right) {
         return left.second->idle_since < right.second->idle_since;
     });
+    for (const auto& [pool, asked] : demand) {
+        if (this->is_stuck(pool, asked, now)) {
+            pools[pool].need = std::max(pools[pool].need, pools[pool].supply + 1);
+            this->stuck_since[pool] = now;
+        }
+    }
     std::vector<vm_move> chosen;
     const auto give = [&](const std::string& name, const vm_fact& vm, const std::string& to) {
         pools[vm.pool].supply -= vm.processors;
--- a/src/fleet/pool_planner.h
+++ b/src/fleet/pool_planner.h
@@ -11,9 +11,10 @@
 
 /// What a pool's queues ask for, in thousandths of a processor.
 struct pool_demand {
-    std::int64_t lasting = 0; ///< tasks that run until they are cancelled
-    std::int64_t running = 0; ///< other tasks that run
-    std::int64_t waiting = 0; ///< other tasks whose turn has come
+    std::int64_t lasting = 0;   ///< tasks that run until they are cancelled
+    std::int64_t running = 0;   ///< other tasks that run
+    std::int64_t waiting = 0;   ///< other tasks whose turn has come
+    bool lasting_waits = false; ///< some lasting task has not found a VM
 
     friend bool operator==(const pool_demand&, const pool_demand&) = default;
 };
@@ -44,6 +45,9 @@
     double fill = 0.85;
     /// Waiting work counts by this part: some of it can wait until running work ends.
     double waiting_weight = 0.8;
+    /// A lasting task that waits for this long needs another VM, however much room there is: its
+    /// step may not share one.
+    common::milliseconds stuck_after{400};
     common::milliseconds memory{900};      ///< demand counts by its highest value within this time
     common::milliseconds lend_after{150};  ///< an idle VM helps another pool after this time
     common::milliseconds park_after{1200}; ///< a move costs about as much as a VM for this time
@@ -83,12 +87,15 @@
         std::int64_t supply = 0;
     };
 
+    [[nodiscard]] bool is_stuck(const std::string& pool, const pool_demand& demand,
+                                common::steady_time now);
     std::int64_t remember(const std::string& pool, const pool_demand& demand,
                           common::steady_time now);
 
     pool_options options;
     std::map<std::string, under_way> moves;
     std::map<std::string, std::deque<remembered>> history;
+    std::map<std::string, common::steady_time> stuck_since; ///< by pool
 };
 
 } // namespace chervilslip::fleet
--- a/src/fleet/tests/pool_planner_tests.cpp
+++ b/src/fleet/tests/pool_planner_tests.cpp
@@ -90,6 +90,21 @@
     cr_assert(second.empty());
 }
 
+Test(pool_planner, a_lasting_task_without_a_vm_gets_another_one)
+{
+    // given: there is room in "a", but its tasks may not share VMs
+    pool_planner planner(pool_options{});
+    vm_fact busy = idle_vm("a");
+    busy.idle = false;
+    const std::map<std::string, vm_fact> vms{{"vm-1", busy}, {"vm-2", idle_vm("spare")}};
+    const std::map<std::string, pool_demand> demand{{"a", {2000, 0, 0, true}}};
+
+    // when, then
+    cr_assert(planner.plan(demand, vms, "spare", at(1000)).empty());
+    cr_assert(planner.plan(demand, vms, "spare", at(1600)) ==
+              (std::vector<vm_move>{{"vm-2", "a"}}));
+}
+
 Test(pool_planner, remembers_demand_for_a_moment)
 {
     // given: demand is gone, but was there half a second ago
--- a/src/scheduling/cell.cpp
+++ b/src/scheduling/cell.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t closing_weight = 4; ///< one item written, up to three removed
 
 /// Collects changes for a moment, so that a burst of ends costs one write.
-constexpr common::milliseconds flush_gap{10};
+constexpr common::milliseconds flush_gap{25};
 
 } // namespace
 
--- a/src/scheduling/cell_jobs.cpp
+++ b/src/scheduling/cell_jobs.cpp
@@ -363,6 +363,7 @@
                 left->second -= waiting;
                 if (job.what.steps[s].long_running) {
                     pool.lasting += counts.open * each + waiting;
+                    pool.lasting_waits = pool.lasting_waits || waiting > 0;
                 } else {
                     pool.running += counts.open * each;
                     pool.waiting += waiting;
--- a/src/store/prefix_follower.cpp
+++ b/src/store/prefix_follower.cpp
@@ -107,10 +107,24 @@
         }
         this->revision = std::max(this->revision, page.value().store_revision);
         this->tell_contact();
-        if (!page.value().changes.empty()) {
-            this->hooks.on_change(this->items, this->revision);
+        if (page.value().changes.empty()) {
+            this->watch_next();
+            return;
         }
-        this->watch_next();
+        this->hooks.on_change(this->items, this->revision);
+        this->after(this->options.pause, [this] { this->watch_next(); });
+    }
+
+    template <typename Next>
+    void after(common::milliseconds delay, Next next)
+    {
+        this->timer.expires_after(delay);
+        this->timer.async_wait(
+            [self = this->shared_from_this(), next](const boost::system::error_code& failure) {
+                if (!failure && !self->stopped) {
+                    next();
+                }
+            });
     }
 
     void tell_contact()
@@ -126,13 +140,7 @@
         if (this->hooks.on_error) {
             this->hooks.on_error(cause);
         }
-        this->timer.expires_after(at_once ? common::milliseconds{0} : this->options.retry_delay);
-        this->timer.async_wait(
-            [self = this->shared_from_this(), next](const boost::system::error_code& failure) {
-                if (!failure && !self->stopped) {
-                    next();
-                }
-            });
+        this->after(at_once ? common::milliseconds{0} : this->options.retry_delay, next);
     }
 
     boost::asio::steady_timer timer;
--- a/src/store/prefix_follower.h
+++ b/src/store/prefix_follower.h
@@ -25,6 +25,7 @@
 struct follower_options {
     common::milliseconds wait{1000}; ///< of one watch; bounds how long a silent one is trusted
     common::milliseconds retry_delay{150}; ///< after a failed call
+    common::milliseconds pause{0}; ///< after changes: collects several for the price of one call
 
     friend bool operator==(const follower_options&, const follower_options&) = default;
 };
