--- a/src/daemon/cell_host.cpp
+++ b/src/daemon/cell_host.cpp
@@ -1,5 +1,7 @@
 #include "daemon/cell_host.h"
 
+#include <boost/asio/post.hpp>
+
 #include "daemon/store_keys.h"
 #include "jobs/job_codec.h"
 
@@ -16,6 +18,9 @@
 /// A journal write without a usable answer is repeated after this time.
 constexpr common::milliseconds write_retry{60};
 
+/// A holder that stops waits so long for the answers to its orders for VMs.
+constexpr common::milliseconds close_limit{400};
+
 /// A failed read of a takeover is repeated after this time.
 constexpr common::milliseconds read_retry{80};
 
@@ -152,6 +157,23 @@
 }
 
 void cell_host::resign()
+{
+    this->resigning = true;
+    if (!this->fleet) {
+        this->give_up_claim();
+        return;
+    }
+    // Events of the keeper must not end the cell from within their own handlers.
+    const auto give_up = [this] {
+        boost::asio::post(this->parts.context, [this] { this->give_up_claim(); });
+    };
+    this->fleet->close(give_up);
+    auto limit = std::make_shared<boost::asio::steady_timer>(this->parts.context, close_limit);
+    limit->async_wait(
+        this->for_this_cell([limit, give_up](const boost::system::error_code&) { give_up(); }));
+}
+
+void cell_host::give_up_claim()
 {
     this->keeper.resign();
     this->drop_cell();
@@ -178,7 +200,7 @@
         this->parts.log.write(event_id::claim_lost, {{"token", this->token}});
         this->drop_cell();
     }
-    if (held && (!this->cell_life || *held != this->token)) {
+    if (held && !this->resigning && (!this->cell_life || *held != this->token)) {
         this->begin_takeover(*held);
     }
     if (this->cell) {
--- a/src/daemon/cell_host.h
+++ b/src/daemon/cell_host.h
@@ -38,7 +38,7 @@
 
     void start();
 
-    /// Gives the claim up and does not try again.
+    /// Gives the claim up, once no order for a VM is under way, and does not try again.
     void resign();
 
     /// Follows a newer configuration. Precondition: its version is higher than the one before.
@@ -64,6 +64,7 @@
     struct takeover; ///< what has been read since the claim was won
     struct write_under_way;
 
+    void give_up_claim();
     void tick();
     void schedule_tick();
     void run_claim_actions();
@@ -127,6 +128,7 @@
     std::set<std::string> input_seen;
     std::int64_t journal_revision = 0;
     std::unique_ptr<write_under_way> write;
+    bool resigning = false;
     bool stopped = false;
 };
 
--- a/src/daemon/fleet_keeper.cpp
+++ b/src/daemon/fleet_keeper.cpp
@@ -10,6 +10,10 @@
 
 using common::event_id;
 
+/// What the store says of a holder's orders for VMs.
+constexpr std::string_view open_mark = " open";
+constexpr std::string_view closed_mark = " closed";
+
 /// Holders that take turns leave at least the platform's lease time between their orders.
 constexpr common::milliseconds holder_gap{3300};
 
@@ -24,11 +28,99 @@
 
 } // namespace
 
-fleet_keeper::fleet_keeper(fleet_parts with, fleet::order_fence under, common::steady_time won_at)
-    : parts(with), fence(std::move(under)), orders_from(won_at + holder_gap),
+fleet_keeper::fleet_keeper(fleet_parts with, fleet::order_fence under,
+                           common::steady_time claimed_at)
+    : parts(with), fence(std::move(under)), won_at(claimed_at),
       planner(maintenance::wave_options{}), pools(fleet::pool_options{})
 {
     this->read_earlier({});
+    this->read_last_holder();
+}
+
+template <typename Action>
+void fleet_keeper::later(common::milliseconds delay, Action action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(this->parts.context, delay);
+    const std::weak_ptr<int> alive = this->life;
+    timer->async_wait([alive, timer, action](const boost::system::error_code&) {
+        if (!alive.expired()) {
+            action();
+        }
+    });
+}
+
+void fleet_keeper::read_last_holder()
+{
+    const std::weak_ptr<int> alive = this->life;
+    this->parts.store.read(std::string(store_keys::vm_orders),
+                           [this, alive](common::result<std::optional<store::item>> last) {
+                               if (alive.expired()) {
+                                   return;
+                               }
+                               if (last) {
+                                   this->take_last_holder(last.value());
+                                   return;
+                               }
+                               this->later(read_retry, [this] { this->read_last_holder(); });
+                           });
+}
+
+void fleet_keeper::take_last_holder(const std::optional<store::item>& last)
+{
+    // Without a holder, or after one that closed, nothing of an earlier one is under way.
+    const bool closed = !last || last->value.ends_with(closed_mark);
+    const auto from = closed ? this->won_at : this->won_at + holder_gap;
+    store::transaction changes;
+    changes.expected.push_back({std::string(store_keys::claim), this->fence.token});
+    changes.set.push_back({std::string(store_keys::vm_orders),
+                           std::to_string(this->fence.token) + std::string(open_mark), 0});
+    const std::weak_ptr<int> alive = this->life;
+    this->parts.store.commit(
+        changes, [this, alive, last, from](common::result<store::commit_outcome> outcome) {
+            if (alive.expired()) {
+                return;
+            }
+            if (!outcome) {
+                this->later(read_retry, [this, last] { this->take_last_holder(last); });
+            } else if (outcome.value().committed) {
+                this->orders_from = from;
+            }
+        });
+}
+
+void fleet_keeper::close(std::function<void()> closed)
+{
+    this->on_closed = std::move(closed);
+    if (this->open_orders == 0) {
+        this->finish_close();
+    }
+}
+
+void fleet_keeper::finish_close()
+{
+    if (!this->orders_from) {
+        std::exchange(this->on_closed, nullptr)();
+        return; // gave none, so the mark of the holder before stays
+    }
+    store::transaction changes;
+    changes.expected.push_back({std::string(store_keys::claim), this->fence.token});
+    changes.set.push_back({std::string(store_keys::vm_orders),
+                           std::to_string(this->fence.token) + std::string(closed_mark), 0});
+    const std::weak_ptr<int> alive = this->life;
+    this->parts.store.commit(changes, [this, alive](common::result<store::commit_outcome>) {
+        // Without the mark the next holder waits, which does no harm.
+        if (!alive.expired() && this->on_closed) {
+            std::exchange(this->on_closed, nullptr)();
+        }
+    });
+}
+
+void fleet_keeper::order_answered()
+{
+    --this->open_orders;
+    if (this->on_closed && this->open_orders == 0) {
+        this->finish_close();
+    }
 }
 
 void fleet_keeper::read_earlier(const std::string& after)
@@ -41,13 +133,7 @@
                 return;
             }
             if (!page) {
-                auto delay =
-                    std::make_shared<boost::asio::steady_timer>(this->parts.context, read_retry);
-                delay->async_wait([this, alive, after, delay](const boost::system::error_code&) {
-                    if (!alive.expired()) {
-                        this->read_earlier(after);
-                    }
-                });
+                this->later(read_retry, [this, after] { this->read_earlier(after); });
                 return;
             }
             for (const store::item& each : page.value().items) {
@@ -112,8 +198,8 @@
     if (now >= this->next_list && !this->list_open) {
         this->read_list(now);
     }
-    if (now < this->next_plan || now < this->orders_from || now >= authority_until ||
-        this->vms.empty()) {
+    if (now < this->next_plan || !this->orders_from || now < *this->orders_from ||
+        now >= authority_until || this->vms.empty() || this->on_closed) {
         return;
     }
     this->next_plan = now + plan_period;
@@ -184,11 +270,13 @@
 {
     this->cordon_vm(move.vm, true);
     const std::weak_ptr<int> alive = this->life;
+    ++this->open_orders;
     this->parts.machines.move(
         move.vm, move.to, this->fence, [this, alive, move](fleet::vm_verdict verdict) {
             if (alive.expired()) {
                 return;
             }
+            this->order_answered();
             const bool accepted = verdict == fleet::vm_verdict::accepted;
             this->parts.log.write(accepted ? event_id::vm_ordered : event_id::vm_order_failed,
                                   {{"vm", move.vm},
@@ -270,11 +358,13 @@
 void fleet_keeper::order_service(const maintenance::wave_step& step)
 {
     const std::weak_ptr<int> alive = this->life;
+    ++this->open_orders;
     this->parts.machines.service(
         step.vm, step.wave, this->fence, [this, alive, step](fleet::vm_verdict verdict) {
             if (alive.expired()) {
                 return;
             }
+            this->order_answered();
             using fate = maintenance::wave_planner::order_fate;
             const bool accepted = verdict == fleet::vm_verdict::accepted;
             this->parts.log.write(accepted ? event_id::vm_ordered : event_id::vm_order_failed,
--- a/src/daemon/fleet_keeper.h
+++ b/src/daemon/fleet_keeper.h
@@ -26,16 +26,26 @@
 /// claim. Not thread safe: used on the io_context's thread.
 class fleet_keeper {
 public:
-    /// `won_at` is when the claim was won: orders wait until an earlier holder gives none any more.
-    fleet_keeper(fleet_parts with, fleet::order_fence under, common::steady_time won_at);
+    /// `claimed_at` is when the claim was won. Orders wait until an earlier holder's have ended.
+    fleet_keeper(fleet_parts with, fleet::order_fence under, common::steady_time claimed_at);
 
     void configure(std::shared_ptr<const fleet_configuration> newer);
     void see_waves(const std::vector<maintenance::wave_request>& waves);
 
+    /// Gives no more orders, and calls `closed` once none is under way and the store says so. The
+    /// next holder may then begin at once.
+    void close(std::function<void()> closed);
+
     /// Decides what is due. Orders are given until `authority_until`.
     void tick(common::steady_time now, common::steady_time authority_until);
 
 private:
+    void read_last_holder();
+    void take_last_holder(const std::optional<store::item>& last);
+    template <typename Action>
+    void later(common::milliseconds delay, Action action);
+    void finish_close();
+    void order_answered();
     void read_earlier(const std::string& after);
     void take_earlier(const store::item& stored);
     void keep_progress(std::int64_t wave, bool completed);
@@ -52,7 +62,10 @@
 
     fleet_parts parts;
     fleet::order_fence fence;
-    common::steady_time orders_from;
+    common::steady_time won_at;
+    std::optional<common::steady_time> orders_from; ///< nothing: not known yet
+    std::int64_t open_orders = 0;
+    std::function<void()> on_closed;
     std::shared_ptr<const fleet_configuration> configuration;
     maintenance::wave_planner planner;
     std::vector<maintenance::wave_request> waves;
--- a/src/daemon/store_keys.h
+++ b/src/daemon/store_keys.h
@@ -10,9 +10,10 @@
 inline constexpr std::string_view input = "chervilslip/in/";     ///< written by accepting nodes
 inline constexpr std::string_view jobs = "chervilslip/in/job/";
 inline constexpr std::string_view cancels = "chervilslip/in/cancel/";
-inline constexpr std::string_view progress = "chervilslip/progress/"; ///< written by the owner
-inline constexpr std::string_view closed = "chervilslip/closed/";     ///< written by the owner
-inline constexpr std::string_view waves = "chervilslip/wave/";        ///< written by the owner
+inline constexpr std::string_view progress = "chervilslip/progress/";  ///< written by the owner
+inline constexpr std::string_view closed = "chervilslip/closed/";      ///< written by the owner
+inline constexpr std::string_view vm_orders = "chervilslip/vm-orders"; ///< who gave VMs orders last
+inline constexpr std::string_view waves = "chervilslip/wave/";         ///< written by the owner
 
 /// Returns the key of one thing under a prefix.
 inline std::string of(std::string_view prefix, const std::string& name)
