Take over at once where the earlier process is known to have ended; bounded log lines

Ruled out: a shorter lease (a slow store answers in 0.25 s, lost answers take two tries). Change: a node ends the claim of its own earlier process; orders begin once a later process of the holder before has been met. Headers include what they use.

--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -19,6 +19,8 @@
     node_stopped = 1004,
     node_settings_invalid = 1005,
     listen_failed = 1006,
+    lines_dropped = 1007,
+    node_reloaded = 1008,
     settings_in_force = 2001,
     settings_change_accepted = 2002,
     settings_change_refused = 2003,
@@ -73,13 +75,15 @@
     severity level;
 };
 
-inline constexpr std::array<event_entry, 51> event_catalogue{{
+inline constexpr std::array<event_entry, 53> event_catalogue{{
     {event_id::node_started, "node_started", severity::info},
     {event_id::node_ready, "node_ready", severity::info},
     {event_id::node_stopping, "node_stopping", severity::info},
     {event_id::node_stopped, "node_stopped", severity::info},
     {event_id::node_settings_invalid, "node_settings_invalid", severity::alarm},
     {event_id::listen_failed, "listen_failed", severity::alarm},
+    {event_id::lines_dropped, "lines_dropped", severity::warning},
+    {event_id::node_reloaded, "node_reloaded", severity::info},
     {event_id::settings_in_force, "settings_in_force", severity::info},
     {event_id::settings_change_accepted, "settings_change_accepted", severity::info},
     {event_id::settings_change_refused, "settings_change_refused", severity::info},
@@ -130,17 +134,20 @@
 /// Writes numbered events as one JSON object a line through log4cplus.
 class event_log {
 public:
-    /// Sets up log4cplus to write to standard error. Precondition: called once a process, before
-    /// other threads start.
-    static void initialize(bool quiet);
+    /// Sets up log4cplus to write to a descriptor, standard output unless another is given, without
+    /// ever waiting for its reader. Precondition: called before other threads start.
+    static void initialize(bool quiet, int descriptor = 1);
 
     /// Makes a log that adds `node` to each event.
     explicit event_log(std::string node);
 
-    /// Writes one event with its fields. Thread safe.
+    /// Writes one event with its fields, unless its kind has used up its lines a second, or nobody
+    /// takes them; dropped lines are counted and reported. Thread safe.
     void write(event_id id, const nlohmann::json& fields) const;
 
 private:
+    void write_line(const event_entry& entry, const nlohmann::json& fields) const;
+
     std::string node;
 };
 
--- a/src/daemon/cell_host.cpp
+++ b/src/daemon/cell_host.cpp
@@ -93,10 +93,11 @@
     std::string mark; ///< the journal head's value that this write sets
 };
 
-cell_host::cell_host(host_parts with, std::string own_name, std::string own_address,
+cell_host::cell_host(host_parts with, process_name own_name, std::string own_address,
                      std::uint64_t random_seed)
-    : parts(with), self(std::move(own_name)), address(std::move(own_address)), seed(random_seed),
-      keeper(this->self, ownership::claim_options{}, random_seed), timer(with.context)
+    : parts(std::move(with)), self(std::move(own_name)), address(std::move(own_address)),
+      seed(random_seed), keeper(this->self.node, ownership::claim_options{}, random_seed),
+      timer(this->parts.context)
 {
 }
 
@@ -230,6 +231,9 @@
     if (found != items.end()) {
         record = read_claim(found->second);
     }
+    if (record) {
+        this->end_earlier_claim(found->second, *record);
+    }
     const auto before = this->keeper.seen();
     this->keeper.see_claim(record, this->now());
     const auto& after = this->keeper.seen();
@@ -242,6 +246,17 @@
     }
 }
 
+void cell_host::end_earlier_claim(const store::item& claim, const ownership::claim_record& record)
+{
+    // A claim of this node under another lease is that of its earlier process, which has ended.
+    if (record.holder == this->self.node && claim.lease != this->keeper.own_lease() &&
+        record.token != this->keeper.token().value_or(0)) {
+        this->parts.store.end_lease(claim.lease, [](common::result<bool>) {
+            // A lease that was not ended runs out by itself.
+        });
+    }
+}
+
 void cell_host::run_claim_actions()
 {
     for (const ownership::claim_action& each : this->keeper.take_actions()) {
@@ -274,7 +289,7 @@
     store::transaction changes;
     const std::string key(store_keys::claim);
     changes.expected.push_back({key, 0});
-    changes.set.push_back({key, claim_value(this->self, this->address).dump(), lease});
+    changes.set.push_back({key, claim_value(this->self.node, this->address).dump(), lease});
     this->parts.store.commit(changes, [this, lease](common::result<store::commit_outcome> got) {
         using ownership::call_fate;
         if (!got) {
@@ -284,8 +299,8 @@
         } else if (got.value().committed) {
             this->keeper.take_claim(
                 call_fate::done,
-                ownership::claim_record{this->self, this->address, got.value().revision}, lease,
-                this->now());
+                ownership::claim_record{this->self.node, this->address, got.value().revision},
+                lease, this->now());
         } else {
             std::optional<ownership::claim_record> record;
             std::uint64_t record_lease = 0;
@@ -482,8 +497,8 @@
     this->cell->see_workers(this->entries, this->now());
     this->fleet = std::make_unique<fleet_keeper>(
         fleet_parts{this->parts.context, this->parts.clock, this->parts.log, this->parts.store,
-                    this->parts.machines, *this->cell},
-        fleet::order_fence{this->self, this->token}, this->claim_won_at);
+                    this->parts.machines, *this->cell, this->parts.has_ended},
+        this->self, this->token, this->claim_won_at);
     this->fleet->configure(this->configuration);
     this->fleet->see_waves(this->waves);
     this->cell->tick(this->now(), this->unix_ms());
--- a/src/daemon/cell_host.h
+++ b/src/daemon/cell_host.h
@@ -23,6 +23,8 @@
     scheduling::worker_port& workers;
     fleet::machine_port& machines;
     registry_port& registry;
+    std::function<bool(const process_name&)>
+        has_ended; ///< whether a process is known to have ended
 };
 
 /// Holds the claim when it can, and then runs the fleet's decisions: reads what an earlier owner
@@ -31,7 +33,7 @@
 class cell_host {
 public:
     /// `self` names the node; `address` is where its peers reach it.
-    cell_host(host_parts with, std::string self, std::string address, std::uint64_t seed);
+    cell_host(host_parts with, process_name self, std::string address, std::uint64_t seed);
     cell_host(const cell_host&) = delete;
     cell_host& operator=(const cell_host&) = delete;
     ~cell_host();
@@ -73,6 +75,7 @@
     void renew(std::uint64_t lease);
     void follow_claim();
     void see_claim(const store::item_map& items);
+    void end_earlier_claim(const store::item& claim, const ownership::claim_record& record);
 
     void begin_takeover(std::int64_t token);
     void retry_read(std::function<void()> read);
@@ -106,7 +109,7 @@
     }
 
     host_parts parts;
-    std::string self;
+    process_name self;
     std::string address;
     std::uint64_t seed;
     ownership::claim_keeper keeper;
--- a/src/daemon/fleet_keeper.cpp
+++ b/src/daemon/fleet_keeper.cpp
@@ -11,8 +11,8 @@
 using common::event_id;
 
 /// What the store says of a holder's orders for VMs.
-constexpr std::string_view open_mark = " open";
-constexpr std::string_view closed_mark = " closed";
+constexpr std::string_view open_state = "open";
+constexpr std::string_view closed_state = "closed";
 
 /// Holders that take turns leave at least the platform's lease time between their orders.
 constexpr common::milliseconds holder_gap{3300};
@@ -28,10 +28,10 @@
 
 } // namespace
 
-fleet_keeper::fleet_keeper(fleet_parts with, fleet::order_fence under,
+fleet_keeper::fleet_keeper(fleet_parts with, process_name own_name, std::int64_t token,
                            common::steady_time claimed_at)
-    : parts(with), fence(std::move(under)), won_at(claimed_at),
-      planner(maintenance::wave_options{}), pools(fleet::pool_options{})
+    : parts(std::move(with)), self(std::move(own_name)), fence{this->self.node, token},
+      won_at(claimed_at), planner(maintenance::wave_options{}), pools(fleet::pool_options{})
 {
     this->read_earlier({});
     this->read_last_holder();
@@ -68,12 +68,22 @@
 void fleet_keeper::take_last_holder(const std::optional<store::item>& last)
 {
     // Without a holder, or after one that closed, nothing of an earlier one is under way.
-    const bool closed = !last || last->value.ends_with(closed_mark);
-    const auto from = closed ? this->won_at : this->won_at + holder_gap;
+    common::steady_time from = this->won_at;
+    if (last) {
+        const auto mark = nlohmann::json::parse(last->value, nullptr, false);
+        const bool readable = mark.is_array() && mark.size() == 3 && mark[0].is_string() &&
+                              mark[1].is_number() && mark[2].is_string();
+        if (!readable || mark[2] != closed_state) {
+            from += holder_gap;
+        }
+        if (readable && mark[2] != closed_state) {
+            this->holder_before =
+                process_name{mark[0].get<std::string>(), mark[1].get<std::int64_t>()};
+        }
+    }
     store::transaction changes;
     changes.expected.push_back({std::string(store_keys::claim), this->fence.token});
-    changes.set.push_back({std::string(store_keys::vm_orders),
-                           std::to_string(this->fence.token) + std::string(open_mark), 0});
+    changes.set.push_back({std::string(store_keys::vm_orders), this->mark_of(open_state), 0});
     const std::weak_ptr<int> alive = this->life;
     this->parts.store.commit(
         changes, [this, alive, last, from](common::result<store::commit_outcome> outcome) {
@@ -88,6 +98,11 @@
         });
 }
 
+std::string fleet_keeper::mark_of(std::string_view state) const
+{
+    return nlohmann::json::array({this->self.node, this->self.incarnation, state}).dump();
+}
+
 void fleet_keeper::close(std::function<void()> closed)
 {
     this->on_closed = std::move(closed);
@@ -104,8 +119,7 @@
     }
     store::transaction changes;
     changes.expected.push_back({std::string(store_keys::claim), this->fence.token});
-    changes.set.push_back({std::string(store_keys::vm_orders),
-                           std::to_string(this->fence.token) + std::string(closed_mark), 0});
+    changes.set.push_back({std::string(store_keys::vm_orders), this->mark_of(closed_state), 0});
     const std::weak_ptr<int> alive = this->life;
     this->parts.store.commit(changes, [this, alive](common::result<store::commit_outcome>) {
         // Without the mark the next holder waits, which does no harm.
@@ -198,6 +212,11 @@
     if (now >= this->next_list && !this->list_open) {
         this->read_list(now);
     }
+    if (this->holder_before && this->orders_from && this->parts.has_ended(*this->holder_before)) {
+        // Its connections ended with it, and with them the orders that were under way.
+        this->holder_before.reset();
+        this->orders_from = now;
+    }
     if (now < this->next_plan || !this->orders_from || now < *this->orders_from ||
         now >= authority_until || this->vms.empty() || this->on_closed) {
         return;
--- a/src/daemon/fleet_keeper.h
+++ b/src/daemon/fleet_keeper.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <functional>
+#include <optional>
+
 #include <boost/asio/io_context.hpp>
 
 #include "common/event_log.h"
@@ -12,6 +15,14 @@
 
 namespace chervilslip::daemon {
 
+/// One process of an entry node; a later one of the same node has a higher incarnation.
+struct process_name {
+    std::string node;
+    std::int64_t incarnation = 0;
+
+    friend bool operator==(const process_name&, const process_name&) = default;
+};
+
 /// What the keeper needs of the host; all outlive the keeper.
 struct fleet_parts {
     boost::asio::io_context& context;
@@ -20,6 +31,8 @@
     store::transactional_store& store;
     fleet::machine_port& machines;
     scheduling::cell& cell;
+    std::function<bool(const process_name&)>
+        has_ended; ///< whether a process is known to have ended
 };
 
 /// Orders VMs into upkeep and between pools while its node owns the fleet. Lives as long as one
@@ -27,7 +40,8 @@
 class fleet_keeper {
 public:
     /// `claimed_at` is when the claim was won. Orders wait until an earlier holder's have ended.
-    fleet_keeper(fleet_parts with, fleet::order_fence under, common::steady_time claimed_at);
+    fleet_keeper(fleet_parts with, process_name self, std::int64_t token,
+                 common::steady_time claimed_at);
 
     void configure(std::shared_ptr<const fleet_configuration> newer);
     void see_waves(const std::vector<maintenance::wave_request>& waves);
@@ -44,6 +58,7 @@
     void take_last_holder(const std::optional<store::item>& last);
     template <typename Action>
     void later(common::milliseconds delay, Action action);
+    [[nodiscard]] std::string mark_of(std::string_view state) const;
     void finish_close();
     void order_answered();
     void read_earlier(const std::string& after);
@@ -61,7 +76,9 @@
     [[nodiscard]] std::map<std::string, maintenance::vm_view> view() const;
 
     fleet_parts parts;
+    process_name self;
     fleet::order_fence fence;
+    std::optional<process_name> holder_before; ///< may still have orders under way
     common::steady_time won_at;
     std::optional<common::steady_time> orders_from; ///< nothing: not known yet
     std::int64_t open_orders = 0;
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -51,8 +51,12 @@
 fleet_node::fleet_node(node_parts with, node_identity who, std::uint64_t seed)
     : parts(with), identity(std::move(who)),
       owner_host({with.context, with.clock, with.log, with.store, with.workers, with.machines,
-                  with.registry},
-                 this->identity.name, this->identity.peers_at.to_string(), seed),
+                  with.registry,
+                  [this](const process_name& process) {
+                      return this->has_ended(process);
+                  }},
+                 {this->identity.name, this->identity.incarnation},
+                 this->identity.peers_at.to_string(), seed),
       callers_desk(with.store, *this, with.log)
 {
     this->owner_host.on_owner([this](const ownership::claim_record& owner) {
@@ -76,6 +80,21 @@
     return boost::outcome_v2::success();
 }
 
+void fleet_node::peer_connected(const membership::member& peer)
+{
+    this->incarnations[peer.name] = peer.incarnation;
+    this->parts.peers.connected(peer.name);
+}
+
+bool fleet_node::has_ended(const process_name& process) const
+{
+    if (process.node == this->identity.name) {
+        return process.incarnation < this->identity.incarnation;
+    }
+    const auto found = this->incarnations.find(process.node);
+    return found != this->incarnations.end() && process.incarnation < found->second;
+}
+
 void fleet_node::begin_stop()
 {
     this->stopping = true;
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -9,6 +9,7 @@
 /// Who a node is and how its peers reach it.
 struct node_identity {
     std::string name;
+    std::int64_t incarnation = 0; ///< grows when a node of the same name starts anew
     std::string zone;
     net::endpoint peers_at;
     std::vector<net::endpoint> seeds; ///< where peers may be found; may be out of date
@@ -58,6 +59,9 @@
     [[nodiscard]] job_desk& desk();
     [[nodiscard]] cell_host& host();
 
+    /// Notes that a peer can be called.
+    void peer_connected(const membership::member& peer);
+
     /// Handles a message of a peer.
     void take_message(const membership::member& peer, const membership::message& value,
                       const membership::answer_sender& answer);
@@ -69,11 +73,13 @@
     void ask_waiting(const std::string& queue, store::handler<std::int64_t> done) override;
 
 private:
+    [[nodiscard]] bool has_ended(const process_name& process) const;
     membership::relay_answer answer_peer(const membership::relay_call& call);
     void call_owner(membership::relay_call call, peer_answer_handler done);
 
     node_parts parts;
     node_identity identity;
+    std::map<std::string, std::int64_t> incarnations; ///< of the latest connection, by node
     cell_host owner_host;
     job_desk callers_desk;
     std::shared_ptr<const fleet_configuration> in_force;
--- a/src/fleet/pool_planner.h
+++ b/src/fleet/pool_planner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -1,5 +1,6 @@
 #include "jobs/job.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/clock.h"
--- a/src/ownership/claim_keeper.cpp
+++ b/src/ownership/claim_keeper.cpp
@@ -1,5 +1,7 @@
 #include "ownership/claim_keeper.h"
 
+#include <utility>
+
 namespace chervilslip::ownership {
 
 claim_keeper::claim_keeper(std::string own_name, claim_options wanted, std::uint64_t seed)
@@ -159,6 +161,11 @@
     return this->lease_until;
 }
 
+std::uint64_t claim_keeper::own_lease() const
+{
+    return this->lease;
+}
+
 const std::optional<claim_record>& claim_keeper::seen() const
 {
     return this->latest;
--- a/src/ownership/claim_keeper.h
+++ b/src/ownership/claim_keeper.h
@@ -101,6 +101,9 @@
     /// Orders may be given until then. Precondition: `token()` has a value.
     [[nodiscard]] common::steady_time authority_until() const;
 
+    /// Returns the lease that this node would claim or claims under; 0: none.
+    [[nodiscard]] std::uint64_t own_lease() const;
+
     /// Returns the claim as last seen.
     [[nodiscard]] const std::optional<claim_record>& seen() const;
 
--- a/src/scheduling/cell.cpp
+++ b/src/scheduling/cell.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/cell.h"
 
+#include <algorithm>
+
 namespace chervilslip::scheduling {
 
 namespace {
--- a/src/scheduling/cell_jobs.cpp
+++ b/src/scheduling/cell_jobs.cpp
@@ -1,6 +1,7 @@
 // The life of jobs and of the runs of their tasks.
 #include "scheduling/cell.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace chervilslip::scheduling {
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "scheduling/worker_book.h"
 
 namespace chervilslip::scheduling {
--- a/src/store/transactional_store.h
+++ b/src/store/transactional_store.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
