Fill VMs one after the other

Cause: tasks were spread over the emptiest VMs, so that few were idle and could be lent or parked. Change: the fullest VM that has room is taken.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -57,8 +57,9 @@
     if (wanted.retried && worker.failures_in_a_row > 0) {
         return std::nullopt;
     }
+    // The fullest VM that has room is taken, so that others become idle and can be moved.
     double cost =
-        used_part(worker.used.processors + reserved.processors, entry.capacity.processors);
+        1.0 - used_part(worker.used.processors + reserved.processors, entry.capacity.processors);
     if (!wanted.near_rack.empty() && entry.rack != wanted.near_rack) {
         cost += far_from_data_cost;
     }
