Write a wave's progress before handing over; pace fillers; metrics; reload; clean up closed jobs

The owner stopped at 5.0 s while its last write of the wave's progress was under way, so the next one did not know of its last orders. Ruled out: a late order (the VM's order came from the new owner), the planner's own count (test). Change: progress is written one at a time and before the hand-over; VMs that the list shows in upkeep count as down (test an_upkeep_that_the_list_shows_counts).

--- a/src/daemon/cell_host.cpp
+++ b/src/daemon/cell_host.cpp
@@ -1,5 +1,7 @@
 #include "daemon/cell_host.h"
 
+#include <charconv>
+
 #include <boost/asio/post.hpp>
 
 #include "daemon/store_keys.h"
@@ -18,6 +20,11 @@
 /// A journal write without a usable answer is repeated after this time.
 constexpr common::milliseconds write_retry{60};
 
+/// Closed jobs are cleaned up in pages at this period.
+constexpr common::milliseconds cleaning_period{5000};
+constexpr std::size_t cleaning_batch =
+    30; ///< a transaction has room for so many beside its condition
+
 /// A holder that stops waits so long for the answers to its orders for VMs.
 constexpr common::milliseconds close_limit{400};
 
@@ -209,9 +216,64 @@
         this->fleet->tick(this->now(), this->keeper.authority_until());
         this->cell->tick(this->now(), this->unix_ms());
         this->run_cell();
+        if (this->now() >= this->next_cleaning) {
+            this->next_cleaning = this->now() + cleaning_period;
+            this->clean_closed();
+        }
+    }
+}
+
+void cell_host::clean_closed()
+{
+    this->parts.store.range(std::string(store_keys::closed), this->closed_after,
+                            this->for_this_cell([this](common::result<store::range_page> page) {
+                                this->take_closed_page(std::move(page));
+                            }));
+}
+
+void cell_host::take_closed_page(common::result<store::range_page> page)
+{
+    if (!page) {
+        return; // the next cleaning goes on here
+    }
+    std::vector<std::string> old;
+    for (const store::item& each : page.value().items) {
+        this->closed_after = each.key;
+        std::int64_t closed_ms = 0;
+        const auto space = each.value.find(' ');
+        if (space != std::string::npos) {
+            const auto* end = each.value.data() + each.value.size();
+            std::from_chars(each.value.data() + space + 1, end, closed_ms);
+        }
+        if (closed_ms + this->parts.state_time.count() < this->unix_ms() &&
+            old.size() < cleaning_batch) {
+            old.push_back(each.key);
+        }
+    }
+    if (!page.value().more) {
+        this->closed_after.clear();
+    }
+    if (!old.empty()) {
+        this->remove_closed(std::move(old));
     }
 }
 
+void cell_host::remove_closed(std::vector<std::string> keys)
+{
+    store::transaction changes;
+    changes.expected.push_back({std::string(store_keys::claim), this->token});
+    changes.remove = keys;
+    this->parts.store.commit(
+        changes, this->for_this_cell([this, keys](common::result<store::commit_outcome> outcome) {
+            if (!outcome || !outcome.value().committed) {
+                return; // the next cleaning finds them again
+            }
+            for (const std::string& key : keys) {
+                this->cell->forget_closed(key.substr(store_keys::closed.size()));
+            }
+        }));
+}
+
 void cell_host::follow_claim()
 {
     store::follower_hooks hooks;
@@ -465,7 +527,7 @@
         return;
     }
     const auto read = std::move(this->reading);
-    scheduling::cell_options options;
+    scheduling::cell_options options = this->parts.cell;
     options.token = this->token;
     this->cell = std::make_unique<scheduling::cell>(options, this->seed);
     std::vector<scheduling::stored_job> stored;
@@ -607,8 +669,10 @@
             changes.set.push_back({progress_key, std::move(each.progress), 0});
             continue;
         }
-        changes.set.push_back({store_keys::of(store_keys::closed, each.job),
-                               std::to_string(static_cast<int>(each.state)), 0});
+        changes.set.push_back(
+            {store_keys::of(store_keys::closed, each.job),
+             std::to_string(static_cast<int>(each.state)) + " " + std::to_string(this->unix_ms()),
+             0});
         changes.remove.push_back(store_keys::of(store_keys::jobs, each.job));
         changes.remove.push_back(store_keys::of(store_keys::cancels, each.job));
         changes.remove.push_back(progress_key);
--- a/src/daemon/cell_host.h
+++ b/src/daemon/cell_host.h
@@ -23,6 +23,8 @@
     scheduling::worker_port& workers;
     fleet::machine_port& machines;
     registry_port& registry;
+    scheduling::cell_options cell;
+    common::milliseconds state_time; ///< how long a closed job's state is kept
     std::function<bool(const process_name&)>
         has_ended; ///< whether a process is known to have ended
 };
@@ -86,6 +88,10 @@
     void finish_takeover_if_read();
     void drop_cell();
 
+    void clean_closed();
+    void take_closed_page(common::result<store::range_page> page);
+    void remove_closed(std::vector<std::string> keys);
+
     void run_cell();
     void carry_out(scheduling::action&& what);
     void write_journal(scheduling::journal_order&& order);
@@ -131,6 +137,8 @@
     std::set<std::string> input_seen;
     std::int64_t journal_revision = 0;
     std::unique_ptr<write_under_way> write;
+    std::string closed_after; ///< the cleaning goes on behind this key
+    common::steady_time next_cleaning;
     bool resigning = false;
     bool stopped = false;
 };
--- a/src/daemon/fleet_keeper.cpp
+++ b/src/daemon/fleet_keeper.cpp
@@ -106,7 +106,15 @@
 void fleet_keeper::close(std::function<void()> closed)
 {
     this->on_closed = std::move(closed);
-    if (this->open_orders == 0) {
+    this->close_if_done();
+}
+
+void fleet_keeper::close_if_done()
+{
+    // The next holder must know of every VM that this one has taken down.
+    const bool written = !this->writing_progress && this->progress_to_write.empty();
+    if (this->on_closed && this->open_orders == 0 && written && !this->closing) {
+        this->closing = true;
         this->finish_close();
     }
 }
@@ -132,9 +140,7 @@
 void fleet_keeper::order_answered()
 {
     --this->open_orders;
-    if (this->on_closed && this->open_orders == 0) {
-        this->finish_close();
-    }
+    this->close_if_done();
 }
 
 void fleet_keeper::read_earlier(const std::string& after)
@@ -178,19 +184,42 @@
 
 void fleet_keeper::keep_progress(std::int64_t wave, bool completed)
 {
-    const nlohmann::json value{{"serviced", this->planner.serviced_of(wave)},
-                               {"completed", completed}};
+    this->progress_to_write[wave] = completed;
+    this->write_progress();
+}
+
+void fleet_keeper::write_progress()
+{
+    if (this->writing_progress || this->progress_to_write.empty()) {
+        return;
+    }
+    // One write at a time, so that an older state never follows a newer one.
+    this->writing_progress = true;
     store::transaction changes;
     changes.expected.push_back({std::string(store_keys::claim), this->fence.token});
-    changes.set.push_back(
-        {store_keys::of(store_keys::waves, std::to_string(wave)), value.dump(), 0});
+    const auto written = std::exchange(this->progress_to_write, {});
+    for (const auto& [wave, completed] : written) {
+        const nlohmann::json value{{"serviced", this->planner.serviced_of(wave)},
+                                   {"completed", completed}};
+        changes.set.push_back(
+            {store_keys::of(store_keys::waves, std::to_string(wave)), value.dump(), 0});
+    }
+    const std::weak_ptr<int> alive = this->life;
     this->parts.store.commit(
-        changes, [log = &this->parts.log, wave](common::result<store::commit_outcome> outcome) {
+        changes, [this, alive, written](common::result<store::commit_outcome> outcome) {
+            if (alive.expired()) {
+                return;
+            }
+            this->writing_progress = false;
             if (!outcome) {
-                // The next holder repeats the orders that it does not know of.
-                log->write(event_id::journal_failed,
-                           {{"wave", wave}, {"error", outcome.error().to_string()}});
+                this->parts.log.write(event_id::journal_failed,
+                                      {{"error", outcome.error().to_string()}});
+                this->progress_to_write.insert(written.begin(), written.end());
+                this->later(read_retry, [this] { this->write_progress(); });
+                return;
             }
+            this->write_progress();
+            this->close_if_done();
         });
 }
 
@@ -338,6 +367,7 @@
     for (const fleet::fleet_vm& vm : this->vms) {
         maintenance::vm_view& one = seen[vm.name];
         one.up = vm.state == fleet::vm_state::up;
+        one.in_service = vm.state == fleet::vm_state::upkeep;
         one.read_at = this->list_asked_at;
     }
     for (const auto& [id, worker] : this->parts.cell.all_workers()) {
@@ -383,7 +413,6 @@
             if (alive.expired()) {
                 return;
             }
-            this->order_answered();
             using fate = maintenance::wave_planner::order_fate;
             const bool accepted = verdict == fleet::vm_verdict::accepted;
             this->parts.log.write(accepted ? event_id::vm_ordered : event_id::vm_order_failed,
@@ -405,6 +434,7 @@
             if (accepted) {
                 this->keep_progress(step.wave, false);
             }
+            this->order_answered();
         });
 }
 
--- a/src/daemon/fleet_keeper.h
+++ b/src/daemon/fleet_keeper.h
@@ -59,11 +59,13 @@
     template <typename Action>
     void later(common::milliseconds delay, Action action);
     [[nodiscard]] std::string mark_of(std::string_view state) const;
+    void close_if_done();
     void finish_close();
     void order_answered();
     void read_earlier(const std::string& after);
     void take_earlier(const store::item& stored);
     void keep_progress(std::int64_t wave, bool completed);
+    void write_progress();
     void read_list(common::steady_time now);
     void carry_out(const maintenance::wave_step& step, common::steady_time now);
     void order_service(const maintenance::wave_step& step);
@@ -83,6 +85,9 @@
     std::optional<common::steady_time> orders_from; ///< nothing: not known yet
     std::int64_t open_orders = 0;
     std::function<void()> on_closed;
+    bool closing = false;
+    std::map<std::int64_t, bool> progress_to_write; ///< by wave: whether it is completed
+    bool writing_progress = false;
     std::shared_ptr<const fleet_configuration> configuration;
     maintenance::wave_planner planner;
     std::vector<maintenance::wave_request> waves;
--- /dev/null
+++ b/src/daemon/fleet_metrics.cpp
@@ -0,0 +1,114 @@
+#include "daemon/fleet_metrics.h"
+
+#include <prometheus/gauge.h>
+#include <prometheus/text_serializer.h>
+
+namespace chervilslip::daemon {
+
+namespace {
+
+constexpr double ms_per_second = 1000.0;
+
+/// From one answer of the store to the longest time that callers wait.
+const prometheus::Histogram::BucketBoundaries latency_buckets{0.002, 0.005, 0.01, 0.025, 0.05,
+                                                              0.1,   0.25,  0.5,  1.0,   3.0};
+
+double seconds(common::milliseconds time)
+{
+    return static_cast<double>(time.count()) / ms_per_second;
+}
+
+} // namespace
+
+fleet_metrics::fleet_metrics()
+    : calls(prometheus::BuildCounter()
+                .Name("chervilslip_calls_total")
+                .Help("Callers' calls by kind and answer")
+                .Register(this->registry)),
+      call_seconds(prometheus::BuildHistogram()
+                       .Name("chervilslip_call_seconds")
+                       .Help("Time from a caller's whole request to its answer")
+                       .Register(this->registry)),
+      store_calls(prometheus::BuildCounter()
+                      .Name("chervilslip_store_calls_total")
+                      .Help("Calls to the store by way and outcome")
+                      .Register(this->registry)),
+      store_seconds(prometheus::BuildHistogram()
+                        .Name("chervilslip_store_seconds")
+                        .Help("Time of a call to the store, its own wait aside")
+                        .Register(this->registry)),
+      node(prometheus::BuildGauge()
+               .Name("chervilslip_node")
+               .Help("State of this node")
+               .Register(this->registry)),
+      decisions(prometheus::BuildGauge()
+                    .Name("chervilslip_decisions")
+                    .Help("Counts of the owner since its claim; zero where another node decides")
+                    .Register(this->registry)),
+      workers(prometheus::BuildGauge()
+                  .Name("chervilslip_workers")
+                  .Help("Workers by what the owner knows of them")
+                  .Register(this->registry))
+{
+}
+
+void fleet_metrics::add_call(const std::string& what, const std::string& outcome,
+                             common::milliseconds taken)
+{
+    this->calls.Add({{"call", what}, {"answer", outcome}}).Increment();
+    this->call_seconds.Add({{"call", what}}, latency_buckets).Observe(seconds(taken));
+}
+
+void fleet_metrics::add_store_call(const std::string& way, const std::string& outcome,
+                                   common::milliseconds taken)
+{
+    this->store_calls.Add({{"way", way}, {"outcome", outcome}}).Increment();
+    this->store_seconds.Add({{"way", way}}, latency_buckets).Observe(seconds(taken));
+}
+
+void fleet_metrics::set_cell_gauges(const scheduling::cell* deciding)
+{
+    const scheduling::cell_counters counts =
+        deciding == nullptr ? scheduling::cell_counters{} : deciding->counters();
+    const std::vector<std::pair<std::string, std::uint64_t>> rows{
+        {"jobs_taken", counts.jobs_taken},
+        {"jobs_completed", counts.jobs_completed},
+        {"jobs_failed", counts.jobs_failed},
+        {"jobs_cancelled", counts.jobs_cancelled},
+        {"starts", counts.starts},
+        {"starts_refused", counts.starts_refused},
+        {"starts_unanswered", counts.starts_unanswered},
+        {"ends_done", counts.ends_done},
+        {"ends_failed", counts.ends_failed},
+        {"ends_other", counts.ends_other},
+        {"runs_lost", counts.runs_lost}};
+    for (const auto& [name, count] : rows) {
+        this->decisions.Add({{"count", name}}).Set(static_cast<double>(count));
+    }
+    std::int64_t listed = 0;
+    std::int64_t silent = 0;
+    std::int64_t runs = 0;
+    if (deciding != nullptr) {
+        for (const auto& [id, worker] : deciding->all_workers()) {
+            listed += worker.listed ? 1 : 0;
+            silent += worker.missed_looks > 0 ? 1 : 0;
+            runs += static_cast<std::int64_t>(worker.runs.size());
+        }
+    }
+    this->workers.Add({{"state", "listed"}}).Set(static_cast<double>(listed));
+    this->workers.Add({{"state", "silent"}}).Set(static_cast<double>(silent));
+    this->workers.Add({{"state", "runs"}}).Set(static_cast<double>(runs));
+}
+
+std::string fleet_metrics::text(const state& now)
+{
+    this->node.Add({{"value", "ready"}}).Set(now.ready ? 1 : 0);
+    this->node.Add({{"value", "decides"}}).Set(now.deciding == nullptr ? 0 : 1);
+    this->node.Add({{"value", "configuration_version"}})
+        .Set(static_cast<double>(now.configuration_version));
+    this->node.Add({{"value", "store_contact_age_seconds"}}).Set(seconds(now.store_contact_age));
+    this->set_cell_gauges(now.deciding);
+    return prometheus::TextSerializer().Serialize(this->registry.Collect());
+}
+
+} // namespace chervilslip::daemon
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -51,7 +51,7 @@
 fleet_node::fleet_node(node_parts with, node_identity who, std::uint64_t seed)
     : parts(with), identity(std::move(who)),
       owner_host({with.context, with.clock, with.log, with.store, with.workers, with.machines,
-                  with.registry,
+                  with.registry, with.cell, with.state_time,
                   [this](const process_name& process) {
                       return this->has_ended(process);
                   }},
@@ -73,9 +73,7 @@
     if (!opened) {
         return opened.error();
     }
-    for (const net::endpoint& seed : this->identity.seeds) {
-        this->parts.network.connect_to(seed);
-    }
+    this->add_seeds(this->identity.seeds);
     this->owner_host.start();
     return boost::outcome_v2::success();
 }
@@ -95,6 +93,24 @@
     return found != this->incarnations.end() && process.incarnation < found->second;
 }
 
+void fleet_node::add_seeds(const std::vector<net::endpoint>& seeds)
+{
+    for (const net::endpoint& seed : seeds) {
+        this->parts.network.connect_to(seed);
+    }
+}
+
+std::string fleet_node::metrics_text()
+{
+    fleet_metrics::state now;
+    now.ready = this->is_ready();
+    now.configuration_version = this->in_force ? this->in_force->version : 0;
+    now.store_contact_age = std::chrono::duration_cast<common::milliseconds>(
+        this->parts.clock.steady_now() - this->last_contact);
+    now.deciding = this->owner_host.deciding();
+    return this->parts.metrics.text(now);
+}
+
 void fleet_node::begin_stop()
 {
     this->stopping = true;
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/cell_host.h"
+#include "daemon/fleet_metrics.h"
 #include "daemon/job_desk.h"
 #include "daemon/store_path.h"
 
@@ -29,6 +30,9 @@
     scheduling::worker_port& workers;
     fleet::machine_port& machines;
     registry_port& registry;
+    fleet_metrics& metrics;
+    scheduling::cell_options cell;
+    common::milliseconds state_time; ///< how long a closed job's state is kept
 };
 
 /// One entry node: takes callers' jobs, and decides for the fleet while it holds the claim. Not
@@ -40,6 +44,12 @@
     /// Begins to work. Errors: `connect_failed` when the peers' port is not to be had.
     common::result<void> start();
 
+    /// Connects to further addresses where peers may be found.
+    void add_seeds(const std::vector<net::endpoint>& seeds);
+
+    /// Returns the node's metrics as text.
+    [[nodiscard]] std::string metrics_text();
+
     /// Gives the claim up; `is_ready` is false from now on. Calls go on being served.
     void begin_stop();
 
--- a/src/daemon/store_path.cpp
+++ b/src/daemon/store_path.cpp
@@ -45,6 +45,7 @@
 struct store_path::pending_call {
     net::http_request request;
     common::milliseconds wait{0};
+    common::steady_time begun;
     common::steady_time give_up;
     net::http_answer done;
     bool direct_tried = false;
@@ -54,11 +55,11 @@
 };
 
 store_path::store_path(boost::asio::io_context& context, net::endpoint store,
-                       const common::clock& time, peer_calls& between, const common::event_log& to,
-                       std::uint64_t seed)
+                       const common::clock& time, peer_calls& between, fleet_metrics& counts,
+                       const common::event_log& to, std::uint64_t seed)
     : clock(time), address(std::move(store)),
-      client(context, idle_store_connections, max_store_answer), peers(between), log(to),
-      random(seed)
+      client(context, idle_store_connections, max_store_answer), peers(between), metrics(counts),
+      log(to), random(seed)
 {
 }
 
@@ -73,7 +74,8 @@
     auto which = std::make_shared<pending_call>();
     which->request = std::move(request);
     which->wait = wait;
-    which->give_up = this->clock.steady_now() + wait + limit;
+    which->begun = this->clock.steady_now();
+    which->give_up = which->begun + wait + limit;
     which->done = std::move(done);
     for (const std::string& peer : this->peers.reachable()) {
         const auto at = this->random.below(which->peers_left.size() + 1);
@@ -104,6 +106,7 @@
 {
     if (answer.has_value() && !turned_away(answer.value())) {
         this->note_direct(true, {});
+        this->count(*which, "direct", "answered");
         which->done(std::move(answer));
         return;
     }
@@ -125,8 +128,18 @@
     this->direct_again = served ? common::steady_time{} : this->clock.steady_now() + direct_pause;
 }
 
+void store_path::count(const pending_call& which, const std::string& way,
+                       const std::string& outcome)
+{
+    const auto taken =
+        std::chrono::duration_cast<common::milliseconds>(this->clock.steady_now() - which.begun);
+    this->metrics.add_store_call(way, outcome,
+                                 std::max(taken - which.wait, common::milliseconds{0}));
+}
+
 void store_path::give_up(const std::shared_ptr<pending_call>& which)
 {
+    this->count(*which, "none", which->maybe_done ? "unknown" : "unavailable");
     const auto code = which->maybe_done ? common::errc::connection_lost : common::errc::unavailable;
     which->done(common::make_error(code, "call store", "store", which->last_cause));
 }
@@ -168,6 +181,7 @@
         net::http_response response;
         response.status = answer.value().status;
         response.body = std::move(answer.value().body);
+        this->count(*which, "peer", "answered");
         which->done(std::move(response));
         return;
     }
--- a/src/daemon/store_path.h
+++ b/src/daemon/store_path.h
@@ -4,6 +4,7 @@
 
 #include "common/event_log.h"
 #include "common/random.h"
+#include "daemon/fleet_metrics.h"
 #include "daemon/peer_calls.h"
 #include "net/http_path.h"
 
@@ -18,7 +19,8 @@
 
     /// Precondition: all references outlive the path.
     store_path(boost::asio::io_context& context, net::endpoint store, const common::clock& time,
-               peer_calls& peers, const common::event_log& log, std::uint64_t seed);
+               peer_calls& peers, fleet_metrics& metrics, const common::event_log& log,
+               std::uint64_t seed);
 
     void call(net::http_request request, common::milliseconds wait, common::milliseconds limit,
               net::http_answer done) override;
@@ -38,13 +40,15 @@
                      common::result<net::http_response> answer);
     void take_peer(const std::shared_ptr<pending_call>& which,
                    common::result<membership::relay_answer> answer);
-    static void give_up(const std::shared_ptr<pending_call>& which);
+    void give_up(const std::shared_ptr<pending_call>& which);
+    void count(const pending_call& which, const std::string& way, const std::string& outcome);
     void note_direct(bool served, const std::string& cause);
 
     const common::clock& clock;
     net::endpoint address;
     net::http_client client;
     peer_calls& peers;
+    fleet_metrics& metrics;
     const common::event_log& log;
     common::random_source random;
     bool direct_works = true;
--- a/src/maintenance/tests/wave_planner_tests.cpp
+++ b/src/maintenance/tests/wave_planner_tests.cpp
@@ -21,7 +21,7 @@
 {
     std::map<std::string, vm_view> vms;
     for (const char* name : {"a", "b", "c"}) {
-        vms[name] = {true, true, 0, 0, at(read_ms)};
+        vms[name] = {true, false, true, 0, 0, at(read_ms)};
     }
     return vms;
 }
@@ -152,6 +152,23 @@
                           [](const std::string& vm) { return vm == "c"; }));
 }
 
+Test(wave_planner, an_upkeep_that_the_list_shows_counts)
+{
+    // given: an earlier holder has taken "c" down, which is not known here
+    wave_planner planner(wave_options{});
+    planner.see_waves({two_of_three}, at(0));
+    auto vms = idle_vms(0);
+    vms["c"].up = false;
+    vms["c"].in_service = true;
+    planner.plan(vms, at(0));
+
+    // when
+    const auto ordered = orders_of(planner.plan(vms, at(100)), kind::service_vm);
+
+    // then
+    cr_assert(ordered.size() == 1);
+}
+
 Test(wave_planner, a_serviced_vm_is_released)
 {
     // given
--- a/src/maintenance/wave_planner.cpp
+++ b/src/maintenance/wave_planner.cpp
@@ -118,6 +118,11 @@
     for (const auto& [name, vm] : wave.vms) {
         down += vm.phase == vm_phase::ordered || vm.phase == vm_phase::down ? 1 : 0;
         down += vm.maybe_begun && vm.phase == vm_phase::emptying ? 1 : 0;
+        // An order that an earlier holder gave last may not be known here, but the list shows it.
+        const auto listed = vms.find(name);
+        const bool counted = vm.phase == vm_phase::ordered || vm.phase == vm_phase::down ||
+                             (vm.maybe_begun && vm.phase == vm_phase::emptying);
+        down += !counted && listed != vms.end() && listed->second.in_service ? 1 : 0;
         emptying += vm.phase == vm_phase::emptying ? 1 : 0;
         const bool begun = vm.phase == vm_phase::down || vm.phase == vm_phase::serviced ||
                            vm.phase == vm_phase::left;
--- a/src/maintenance/wave_planner.h
+++ b/src/maintenance/wave_planner.h
@@ -23,6 +23,7 @@
 /// What is known of a VM when the planner decides.
 struct vm_view {
     bool up = false;
+    bool in_service = false;     ///< down for its upkeep, whoever ordered it
     bool has_worker = false;     ///< a known worker runs on it
     std::int64_t lasting = 0;    ///< lasting runs that may exist on it
     std::int64_t others = 0;     ///< other runs that may exist on it
--- a/src/scheduling/cell.cpp
+++ b/src/scheduling/cell.cpp
@@ -232,6 +232,11 @@
     return waiting;
 }
 
+void cell::forget_closed(const std::string& id)
+{
+    this->closed_states.erase(id);
+}
+
 const worker_book& cell::all_workers() const
 {
     return this->workers;
--- a/src/scheduling/cell.h
+++ b/src/scheduling/cell.h
@@ -7,6 +7,7 @@
 #include "common/random.h"
 #include "fleet/pool_planner.h"
 #include "scheduling/duration_book.h"
+#include "scheduling/pace_keeper.h"
 #include "scheduling/progress.h"
 #include "scheduling/worker_book.h"
 
@@ -85,6 +86,9 @@
     /// Tells that a VM's earlier life has ended for certain.
     void worker_died(const std::string& worker, common::steady_time now);
 
+    /// Forgets a closed job, whose state is no longer kept.
+    void forget_closed(const std::string& id);
+
     /// Returns the actions decided since the last call.
     std::vector<action> take_actions();
 
@@ -189,6 +193,7 @@
     void look_if_due(worker_state& at, common::steady_time now);
     void match_running(worker_state& at, const look_answer& answer, common::steady_time now);
     void match_missing(worker_state& at, const look_answer& answer, common::steady_time now);
+    void pace_fillers(worker_state& at, common::steady_time now);
     void lose_runs_of(worker_state& at, std::string_view why, common::steady_time now);
     void drop_silent_workers(common::steady_time now);
     void request_stop(const jobs::task_id& task, open_run& which, common::steady_time now);
@@ -242,6 +247,7 @@
     common::steady_time last_now;
     std::int64_t last_unix_ms = 0;
     duration_book durations;
+    pace_keeper pace;
     cell_counters counted;
     bool dispatch_due = true;
     common::steady_time next_dispatch;
--- a/src/scheduling/cell_workers.cpp
+++ b/src/scheduling/cell_workers.cpp
@@ -19,6 +19,9 @@
 constexpr common::milliseconds no_room_pause{150};
 constexpr common::milliseconds unhealthy_pause{700};
 
+/// A worker on which fillers run beside serving tasks is asked this often.
+constexpr common::milliseconds watched_wait{500};
+
 /// A stop without effect is repeated.
 constexpr common::milliseconds stop_retry{600};
 
@@ -129,7 +132,9 @@
     if (at.answered && at.missed_looks == 0) {
         order.deadline_ms = this->deadline_for(at, now, this->options.hold_time);
         at.extend(*order.deadline_ms);
-        order.wait = at.pending.empty() ? this->options.look_wait : common::milliseconds{0};
+        const auto wait = std::min(this->options.look_wait, at.look_wait);
+        order.wait = at.pending.empty() ? wait : common::milliseconds{0};
+        at.look_wait = this->options.look_wait;
     }
     at.look_open = true;
     at.look_sent = now;
@@ -181,6 +186,7 @@
     at->acknowledge_durable();
     this->match_running(*at, answer, now);
     this->match_missing(*at, answer, now);
+    this->pace_fillers(*at, now);
     at->next_look =
         first || was_silent ? now : now + (at->pending.empty() ? look_gap : look_gap_unwritten);
     this->dispatch_due = this->dispatch_due || first;
@@ -220,6 +226,29 @@
     }
 }
 
+void cell::pace_fillers(worker_state& at, common::steady_time now)
+{
+    std::vector<paced_run> runs;
+    bool fills = false;
+    for (const jobs::task_id& task : at.runs) {
+        const open_run& run = this->open_runs.at(task);
+        const jobs::step& step = this->jobs_by_id.at(task.job).what.steps.at(task.step);
+        if (run.phase == run_phase::running) {
+            fills = fills || step.filler;
+            runs.push_back({task, run.run, step.filler, step.tail_target, run.load, run.percent});
+        }
+    }
+    if (!fills) {
+        return;
+    }
+    for (const pace_change& each : this->pace.plan(at.entry.life.id, runs, now)) {
+        this->actions.emplace_back(
+            pace_order{at.entry.life, at.entry.address, each.task, each.run, each.percent});
+    }
+    // Disturbance changes within seconds, so such a worker is asked more often.
+    at.look_wait = watched_wait;
+}
+
 void cell::match_missing(worker_state& at, const look_answer& answer, common::steady_time now)
 {
     std::set<jobs::task_id> listed;
@@ -331,6 +360,7 @@
         }
         const bool gone = !at.listed && at.runs.empty() && !at.look_open;
         if (gone) {
+            this->pace.forget(each->first);
             this->note(decision_note::kind::worker_lost, each->first, "no longer listed");
             each = this->workers.erase(each);
         } else {
--- a/src/scheduling/worker_book.h
+++ b/src/scheduling/worker_book.h
@@ -29,6 +29,7 @@
     common::steady_time look_sent;
     common::steady_time next_look;
     std::int64_t missed_looks = 0;
+    common::milliseconds look_wait{60000}; ///< most that the next look may wait for an end
 
     std::int64_t clock_ms = 0;      ///< the worker's clock at its latest answer
     common::steady_time clock_read; ///< when that answer came
