Try a second way to the store beside a silent one

Ruled out: a lost claim (same token until the end), workers (looks answered). Change: a way that has not answered after 0.3 s is joined by the next, the peer that answered last comes first, and the first answer counts; every call is conditional or idempotent.

--- a/src/daemon/store_path.cpp
+++ b/src/daemon/store_path.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace chervilslip::daemon {
 
 namespace {
@@ -15,14 +17,20 @@
 /// After a failed direct call, peers are asked first for this time.
 constexpr common::milliseconds direct_pause{1500};
 
-/// A direct call gets this part of its time; the rest is for a peer.
+/// A relayed call gets this long; a slow store answers within a quarter of a second.
 constexpr common::milliseconds direct_most{600};
 
+/// A way that has not answered after this time is taken as silent: another is tried beside it. A
+/// slow store is just below.
+constexpr common::milliseconds next_way_after{300};
+
 /// A peer needs this much longer than its own call to the store.
 constexpr common::milliseconds peer_margin{50};
 
 /// Peers that one call tries, beside the direct way.
-constexpr std::size_t most_peers = 2;
+constexpr std::size_t most_peers = 3;
+
+constexpr std::string_view direct_way; ///< no peer has an empty name
 
 constexpr unsigned status_no_answer = 0; ///< the peer's own call may have been carried out
 constexpr unsigned status_bad_request = 400;
@@ -47,18 +55,19 @@
     common::milliseconds wait{0};
     common::steady_time begun;
     common::steady_time give_up;
-    net::http_answer done;
-    bool direct_tried = false;
+    net::http_answer done; ///< empty once it was called
+    int open_tries = 0;
     bool maybe_done = false; ///< some try may have been carried out
     std::string last_cause;
-    std::vector<std::string> peers_left;
+    std::vector<std::string> ways_left; ///< peers and `direct_way`; the last is tried first
+    std::shared_ptr<boost::asio::steady_timer> next_try;
 };
 
-store_path::store_path(boost::asio::io_context& context, net::endpoint store,
-                       const common::clock& time, peer_calls& between, fleet_metrics& counts,
-                       const common::event_log& to, std::uint64_t seed)
-    : clock(time), address(std::move(store)),
-      client(context, idle_store_connections, max_store_answer), peers(between), metrics(counts),
+store_path::store_path(boost::asio::io_context& io, net::endpoint store, const common::clock& time,
+                       peer_calls& between, fleet_metrics& counts, const common::event_log& to,
+                       std::uint64_t seed)
+    : context(io), clock(time), address(std::move(store)),
+      client(io, idle_store_connections, max_store_answer), peers(between), metrics(counts),
       log(to), random(seed)
 {
 }
@@ -77,26 +86,76 @@
     which->begun = this->clock.steady_now();
     which->give_up = which->begun + wait + limit;
     which->done = std::move(done);
+    which->next_try = std::make_shared<boost::asio::steady_timer>(this->context);
+    auto& ways = which->ways_left;
     for (const std::string& peer : this->peers.reachable()) {
-        const auto at = this->random.below(which->peers_left.size() + 1);
-        which->peers_left.insert(which->peers_left.begin() + static_cast<std::ptrdiff_t>(at), peer);
+        const auto at = this->random.below(ways.size() + 1);
+        ways.insert(ways.begin() + static_cast<std::ptrdiff_t>(at), peer);
     }
-    which->peers_left.resize(std::min(which->peers_left.size(), most_peers));
-    if (this->clock.steady_now() < this->direct_again && !which->peers_left.empty()) {
-        this->try_peer(which);
-    } else {
-        this->try_direct(which);
+    ways.resize(std::min(ways.size(), most_peers));
+    if (this->peers.reachable().contains(this->serving_peer)) {
+        std::erase(ways, this->serving_peer);
+        ways.push_back(this->serving_peer);
     }
+    const bool direct_last = this->clock.steady_now() < this->direct_again;
+    ways.insert(direct_last ? ways.begin() : ways.end(), std::string(direct_way));
+    this->next_way(which);
 }
 
-void store_path::try_direct(const std::shared_ptr<pending_call>& which)
+void store_path::next_way(const std::shared_ptr<pending_call>& which)
 {
-    which->direct_tried = true;
     const auto left =
         std::chrono::duration_cast<common::milliseconds>(which->give_up - this->clock.steady_now());
-    const auto limit = which->peers_left.empty() ? left : std::min(left, direct_most + which->wait);
-    this->client.call(this->address, which->request, std::max(limit, common::milliseconds{1}),
+    if (!which->done) {
+        return;
+    }
+    if (left <= peer_margin || which->ways_left.empty()) {
+        if (which->open_tries == 0) {
+            this->give_up(which);
+        }
+        return;
+    }
+    const std::string way = std::move(which->ways_left.back());
+    which->ways_left.pop_back();
+    ++which->open_tries;
+    if (way == direct_way) {
+        this->try_direct(which, left);
+    } else {
+        this->try_peer(which, way, left);
+    }
+    // A silent way must not hold the call up: the next one is tried beside it.
+    which->next_try->expires_after(which->wait + next_way_after);
+    which->next_try->async_wait([this, which](const boost::system::error_code& failure) {
+        if (!failure) {
+            this->next_way(which);
+        }
+    });
+}
+
+void store_path::finish(const std::shared_ptr<pending_call>& which, const std::string& way,
+                        net::http_response&& answer)
+{
+    if (!which->done) {
+        return; // another way was faster
+    }
+    which->next_try->cancel();
+    this->count(*which, way, "answered");
+    std::exchange(which->done, nullptr)(std::move(answer));
+}
+
+void store_path::fail_way(const std::shared_ptr<pending_call>& which, bool maybe_done,
+                          std::string cause)
+{
+    which->maybe_done = which->maybe_done || maybe_done;
+    which->last_cause = std::move(cause);
+    this->next_way(which);
+}
+
+void store_path::try_direct(const std::shared_ptr<pending_call>& which, common::milliseconds limit)
+{
+    this->client.call(this->address, which->request, limit,
                       [this, which](common::result<net::http_response> answer) {
+                          --which->open_tries;
                           this->take_direct(which, std::move(answer));
                       });
 }
@@ -106,16 +165,13 @@
 {
     if (answer.has_value() && !turned_away(answer.value())) {
         this->note_direct(true, {});
-        this->count(*which, "direct", "answered");
-        which->done(std::move(answer));
+        this->finish(which, "direct", std::move(answer.value()));
         return;
     }
-    which->last_cause = answer.has_value() ? "status " + std::to_string(answer.value().status)
-                                           : answer.error().to_string();
-    which->maybe_done =
-        which->maybe_done || (!answer.has_value() && answer.error().may_have_reached_peer());
-    this->note_direct(false, which->last_cause);
-    this->try_peer(which);
+    const std::string cause = answer.has_value() ? "status " + std::to_string(answer.value().status)
+                                                 : answer.error().to_string();
+    this->note_direct(false, cause);
+    this->fail_way(which, !answer.has_value() && answer.error().may_have_reached_peer(), cause);
 }
 
 void store_path::note_direct(bool served, const std::string& cause)
@@ -141,57 +197,46 @@
 {
     this->count(*which, "none", which->maybe_done ? "unknown" : "unavailable");
     const auto code = which->maybe_done ? common::errc::connection_lost : common::errc::unavailable;
-    which->done(common::make_error(code, "call store", "store", which->last_cause));
+    std::exchange(which->done,
+                  nullptr)(common::make_error(code, "call store", "store", which->last_cause));
 }
 
-void store_path::try_peer(const std::shared_ptr<pending_call>& which)
+void store_path::try_peer(const std::shared_ptr<pending_call>& which, const std::string& peer,
+                          common::milliseconds limit)
 {
-    const auto left =
-        std::chrono::duration_cast<common::milliseconds>(which->give_up - this->clock.steady_now());
-    if (left <= peer_margin) {
-        give_up(which);
-        return;
-    }
-    if (which->peers_left.empty()) {
-        if (which->direct_tried) {
-            give_up(which);
-        } else {
-            this->try_direct(which);
-        }
-        return;
-    }
-    const std::string peer = which->peers_left.back();
-    which->peers_left.pop_back();
     membership::relay_call relay;
     relay.method = which->request.method;
     relay.target = relay_target(which->wait, which->request.target);
     relay.body = which->request.body;
-    this->peers.call(peer, std::move(relay), std::min(left, direct_most + which->wait),
-                     [this, which](common::result<membership::relay_answer> answer) {
-                         this->take_peer(which, std::move(answer));
+    this->peers.call(peer, std::move(relay), std::min(limit, direct_most + which->wait),
+                     [this, which, peer](common::result<membership::relay_answer> answer) {
+                         --which->open_tries;
+                         this->take_peer(which, peer, std::move(answer));
                      });
 }
 
-void store_path::take_peer(const std::shared_ptr<pending_call>& which,
+void store_path::take_peer(const std::shared_ptr<pending_call>& which, const std::string& peer,
                            common::result<membership::relay_answer> answer)
 {
     const bool answered = answer.has_value() && answer.value().status != status_no_answer;
     if (answered && answer.value().status != status_too_many &&
         answer.value().status != status_unavailable) {
+        this->serving_peer = peer;
         net::http_response response;
         response.status = answer.value().status;
         response.body = std::move(answer.value().body);
-        this->count(*which, "peer", "answered");
-        which->done(std::move(response));
+        this->finish(which, "peer", std::move(response));
         return;
     }
+    if (this->serving_peer == peer) {
+        this->serving_peer.clear();
+    }
     const bool not_sent =
         !answer.has_value() && answer.error().code == common::errc::connect_failed;
-    which->maybe_done = which->maybe_done || (!answered && !not_sent);
-    which->last_cause = answer.has_value()
-                            ? "status " + std::to_string(answer.value().status) + " over a peer"
-                            : answer.error().to_string();
-    this->try_peer(which);
+    this->fail_way(which, !answered && !not_sent,
+                   answer.has_value()
+                       ? "status " + std::to_string(answer.value().status) + " over a peer"
+                       : answer.error().to_string());
 }
 
 void store_path::serve(const membership::relay_call& call, const membership::answer_sender& answer)
--- a/src/daemon/store_path.h
+++ b/src/daemon/store_path.h
@@ -10,8 +10,9 @@
 
 namespace chervilslip::daemon {
 
-/// The way to the store: direct, or over a peer while the store does not serve this node. Not
-/// thread safe: used on the io_context's thread.
+/// The way to the store: direct, or over a peer while the store does not serve this node. A way
+/// that is silent is joined by the next one, and the first answer counts. Not thread safe: used on
+/// the io_context's thread.
 class store_path final : public net::http_path {
 public:
     /// Targets of peers' calls that are meant for the store begin so.
@@ -34,16 +35,22 @@
 private:
     struct pending_call;
 
-    void try_direct(const std::shared_ptr<pending_call>& which);
-    void try_peer(const std::shared_ptr<pending_call>& which);
+    void next_way(const std::shared_ptr<pending_call>& which);
+    void try_direct(const std::shared_ptr<pending_call>& which, common::milliseconds limit);
+    void try_peer(const std::shared_ptr<pending_call>& which, const std::string& peer,
+                  common::milliseconds limit);
     void take_direct(const std::shared_ptr<pending_call>& which,
                      common::result<net::http_response> answer);
-    void take_peer(const std::shared_ptr<pending_call>& which,
+    void take_peer(const std::shared_ptr<pending_call>& which, const std::string& peer,
                    common::result<membership::relay_answer> answer);
+    void finish(const std::shared_ptr<pending_call>& which, const std::string& way,
+                net::http_response&& answer);
+    void fail_way(const std::shared_ptr<pending_call>& which, bool maybe_done, std::string cause);
     void give_up(const std::shared_ptr<pending_call>& which);
-    void count(const pending_call& which, const std::string& way, const std::string& outcome);
     void note_direct(bool served, const std::string& cause);
+    void count(const pending_call& which, const std::string& way, const std::string& outcome);
 
+    boost::asio::io_context& context;
     const common::clock& clock;
     net::endpoint address;
     net::http_client client;
@@ -53,6 +60,7 @@
     common::random_source random;
     bool direct_works = true;
     common::steady_time direct_again; ///< until then peers are asked first
+    std::string serving_peer;         ///< answered a call last; empty: none
 };
 
 } // namespace chervilslip::daemon
