Foresee demand that grows; lint the platform folder too

Change: a pool's need is extrapolated by its growth of the last 0.6 s over 1.2 s. What nothing used is removed.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	@scripts/lint.sh $(BUILD)
 
 format:
-	@git ls-files --cached --others --exclude-standard 'src/*.h' 'src/*.cpp' | xargs clang-format -i
+	@git ls-files --cached --others --exclude-standard 'src/*.h' 'src/*.cpp' 'platform/*.h' 'platform/*.cpp' | xargs clang-format -i
 
 bench: build
 	@CHERVILSLIP_BIN=$(CURDIR)/$(BUILD)/bin python3 scripts/bench.py
--- a/src/daemon/cell_host.cpp
+++ b/src/daemon/cell_host.cpp
@@ -103,8 +103,7 @@
 cell_host::cell_host(host_parts with, process_name own_name, std::string own_address,
                      std::uint64_t random_seed)
     : parts(std::move(with)), self(std::move(own_name)), address(std::move(own_address)),
-      seed(random_seed), keeper(this->self.node, ownership::claim_options{}, random_seed),
-      timer(this->parts.context)
+      keeper(this->self.node, ownership::claim_options{}, random_seed), timer(this->parts.context)
 {
 }
 
@@ -529,7 +528,7 @@
     const auto read = std::move(this->reading);
     scheduling::cell_options options = this->parts.cell;
     options.token = this->token;
-    this->cell = std::make_unique<scheduling::cell>(options, this->seed);
+    this->cell = std::make_unique<scheduling::cell>(options);
     std::vector<scheduling::stored_job> stored;
     for (const auto& [key, each] : read->input) {
         this->input_seen.insert(key);
--- a/src/daemon/cell_host.h
+++ b/src/daemon/cell_host.h
@@ -117,7 +117,6 @@
     host_parts parts;
     process_name self;
     std::string address;
-    std::uint64_t seed;
     ownership::claim_keeper keeper;
     boost::asio::steady_timer timer;
     std::unique_ptr<store::prefix_follower> claim_follower;
--- a/src/fleet/pool_planner.cpp
+++ b/src/fleet/pool_planner.cpp
@@ -28,11 +28,16 @@
     while (now - past.front().at > this->options.memory) {
         past.pop_front();
     }
-    return std::max_element(past.begin(), past.end(),
-                            [](const remembered& left, const remembered& right) {
-                                return left.need < right.need;
-                            })
-        ->need;
+    const auto highest = std::max_element(
+        past.begin(), past.end(),
+        [](const remembered& left, const remembered& right) { return left.need < right.need; });
+    const auto before = std::find_if(past.begin(), past.end(), [&](const remembered& each) {
+        return now - each.at <= this->options.trend;
+    });
+    const auto growth = static_cast<double>(past.back().need - before->need) /
+                        static_cast<double>(this->options.trend.count());
+    const auto ahead = growth * static_cast<double>(this->options.foresight.count());
+    return std::max(highest->need, past.back().need + static_cast<std::int64_t>(ahead));
 }
 
 bool pool_planner::is_stuck(const std::string& pool, const pool_demand& demand,
--- a/src/fleet/pool_planner.h
+++ b/src/fleet/pool_planner.h
@@ -49,6 +49,10 @@
     /// A lasting task that waits for this long needs another VM, however much room there is: its
     /// step may not share one.
     common::milliseconds stuck_after{400};
+    /// Demand that grew is taken to go on growing as fast for this time: a VM that is ordered now
+    /// works after a move.
+    common::milliseconds foresight{1200};
+    common::milliseconds trend{600};       ///< over which growth is measured
     common::milliseconds memory{900};      ///< demand counts by its highest value within this time
     common::milliseconds lend_after{150};  ///< an idle VM helps another pool after this time
     common::milliseconds park_after{1200}; ///< a move costs about as much as a VM for this time
--- a/src/fleet/tests/pool_planner_tests.cpp
+++ b/src/fleet/tests/pool_planner_tests.cpp
@@ -105,6 +105,22 @@
               (std::vector<vm_move>{{"vm-2", "a"}}));
 }
 
+Test(pool_planner, foresees_demand_that_grows)
+{
+    // given: one VM is enough now, but demand has doubled within half a second
+    pool_planner planner(pool_options{});
+    vm_fact busy = idle_vm("a");
+    busy.idle = false;
+    const std::map<std::string, vm_fact> vms{{"vm-1", busy}, {"vm-2", idle_vm("spare")}};
+    planner.plan({{"a", {0, 3000, 0}}}, vms, "spare", at(4000));
+
+    // when
+    const auto moves = planner.plan({{"a", {0, 6000, 0}}}, vms, "spare", at(4500));
+
+    // then
+    cr_assert(moves == (std::vector<vm_move>{{"vm-2", "a"}}));
+}
+
 Test(pool_planner, remembers_demand_for_a_moment)
 {
     // given: demand is gone, but was there half a second ago
--- a/src/scheduling/cell.cpp
+++ b/src/scheduling/cell.cpp
@@ -64,7 +64,7 @@
     return "stopped";
 }
 
-cell::cell(cell_options wanted, std::uint64_t seed) : options(wanted), random(seed)
+cell::cell(cell_options wanted) : options(wanted)
 {
 }
 
--- a/src/scheduling/cell.h
+++ b/src/scheduling/cell.h
@@ -4,7 +4,6 @@
 #include <set>
 #include <unordered_map>
 
-#include "common/random.h"
 #include "fleet/pool_planner.h"
 #include "scheduling/duration_book.h"
 #include "scheduling/pace_keeper.h"
@@ -45,7 +44,7 @@
 /// it. Not thread safe.
 class cell {
 public:
-    cell(cell_options wanted, std::uint64_t seed);
+    explicit cell(cell_options wanted);
 
     /// Takes what an earlier owner left. Precondition: called once, before any other event.
     /// What runs on workers that do not answer is waited for until `inherited_hold` after `now`.
@@ -83,9 +82,6 @@
     /// Stops the lasting runs on a worker as far as their availability budget allows.
     void evacuate(const std::string& worker, common::steady_time now);
 
-    /// Tells that a VM's earlier life has ended for certain.
-    void worker_died(const std::string& worker, common::steady_time now);
-
     /// Forgets a closed job, whose state is no longer kept.
     void forget_closed(const std::string& id);
 
@@ -183,7 +179,7 @@
     void end_run(active_job& of, const jobs::task_id& task, end_cause cause,
                  const std::string& checkpoint, common::steady_time now);
     void close_run(const jobs::task_id& task);
-    void lose_run(const jobs::task_id& task, std::string_view why, common::steady_time now);
+    void lose_run(const jobs::task_id& task, std::string_view why);
 
     [[nodiscard]] std::int64_t room_under_limit(const std::string& team) const;
 
@@ -194,7 +190,7 @@
     void match_running(worker_state& at, const look_answer& answer, common::steady_time now);
     void match_missing(worker_state& at, const look_answer& answer, common::steady_time now);
     void pace_fillers(worker_state& at, common::steady_time now);
-    void lose_runs_of(worker_state& at, std::string_view why, common::steady_time now);
+    void lose_runs_of(worker_state& at, std::string_view why);
     void drop_silent_workers(common::steady_time now);
     void request_stop(const jobs::task_id& task, open_run& which, common::steady_time now);
     [[nodiscard]] std::int64_t deadline_for(const worker_state& at, common::steady_time now,
@@ -219,8 +215,7 @@
     void send_start(const jobs::task_id& task, open_run& which, common::steady_time now);
     ticket_book* advice_for(active_job& of, std::int64_t occurrence, jobs::step_index step,
                             common::steady_time now);
-    [[nodiscard]] rank rank_of(const active_job& of, common::steady_time now,
-                               std::int64_t unix_ms) const;
+    [[nodiscard]] rank rank_of(const active_job& of, std::int64_t unix_ms) const;
     void flush_journal(common::steady_time now);
     [[nodiscard]] static bool is_closed(const active_job& of);
     std::set<std::string> choose_changes(journal_order& order);
@@ -228,7 +223,6 @@
     void note(decision_note::kind what, std::string subject, std::string detail);
 
     cell_options options;
-    common::random_source random;
     policy rules;
     worker_book workers;
     std::unordered_map<std::string, active_job> jobs_by_id;
--- a/src/scheduling/cell_dispatch.cpp
+++ b/src/scheduling/cell_dispatch.cpp
@@ -27,9 +27,8 @@
 
 } // namespace
 
-cell::rank cell::rank_of(const active_job& of, common::steady_time now, std::int64_t unix_ms) const
+cell::rank cell::rank_of(const active_job& of, std::int64_t unix_ms) const
 {
-    static_cast<void>(now);
     const jobs::queue_terms& terms = this->terms_of(of);
     if (of.what.lasts()) {
         return {0, terms.priority, static_cast<double>(of.what.accepted_ms)};
@@ -78,7 +77,7 @@
                                [](const step_count& each) { return each.waiting > 0; });
         });
         if (waits) {
-            order.emplace_back(this->rank_of(job, now, unix_ms), &job);
+            order.emplace_back(this->rank_of(job, unix_ms), &job);
         }
     }
     std::sort(order.begin(), order.end(), [](const auto& left, const auto& right) {
@@ -350,7 +349,7 @@
     active_job& job = this->jobs_by_id.at(task.job);
     worker_state* at = this->find_worker(which.worker);
     if (at == nullptr || !is_usable(*at, now) || now >= this->authority_until) {
-        this->lose_run(task, "worker may not be used any more", now);
+        this->lose_run(task, "worker may not be used any more");
         return;
     }
     start_order order;
--- a/src/scheduling/cell_jobs.cpp
+++ b/src/scheduling/cell_jobs.cpp
@@ -139,7 +139,7 @@
         }
     }
     for (const jobs::task_id& task : never_sent) {
-        this->lose_run(task, "job ended before its start", now);
+        this->lose_run(task, "job ended before its start");
     }
 }
 
@@ -217,7 +217,7 @@
         return false;
     }
     if (planned) {
-        this->lose_run(row.task, "an earlier run was done", now);
+        this->lose_run(row.task, "an earlier run was done");
     }
     step_count& counts =
         of.counts.at(static_cast<std::size_t>(row.task.occurrence)).at(row.task.step);
@@ -342,7 +342,7 @@
     this->finish_job(of, jobs::job_state::completed, now);
 }
 
-void cell::lose_run(const jobs::task_id& task, std::string_view why, common::steady_time now)
+void cell::lose_run(const jobs::task_id& task, std::string_view why)
 {
     const auto run = this->open_runs.find(task);
     if (run == this->open_runs.end()) {
@@ -356,7 +356,6 @@
     active_job& job = this->jobs_by_id.at(task.job);
     this->close_run(task);
     this->return_task(job, task);
-    static_cast<void>(now);
 }
 
 std::int64_t cell::room_under_limit(const std::string& team) const
--- a/src/scheduling/cell_workers.cpp
+++ b/src/scheduling/cell_workers.cpp
@@ -63,7 +63,7 @@
         known.listed = known.listed && listed.contains(id);
         if (is_ended(known.entry)) {
             known.listed = false;
-            this->lose_runs_of(known, "its VM has a later life", now);
+            this->lose_runs_of(known, "its VM has a later life");
         }
     }
     this->dispatch_due = true;
@@ -77,7 +77,7 @@
             if (known.entry.life.born_ms > entry.life.born_ms) {
                 return; // an entry of an earlier life
             }
-            this->lose_runs_of(known, "worker started anew", now);
+            this->lose_runs_of(known, "worker started anew");
         }
         known = worker_state{};
         known.next_look = now;
@@ -93,21 +93,11 @@
     }
 }
 
-void cell::worker_died(const std::string& worker, common::steady_time now)
-{
-    const auto found = this->workers.find(worker);
-    if (found != this->workers.end()) {
-        this->lose_runs_of(found->second, "its VM was restarted", now);
-        found->second.listed = false;
-        found->second.runs_until = now;
-    }
-}
-
-void cell::lose_runs_of(worker_state& at, std::string_view why, common::steady_time now)
+void cell::lose_runs_of(worker_state& at, std::string_view why)
 {
     const std::set<jobs::task_id> runs = at.runs;
     for (const jobs::task_id& task : runs) {
-        this->lose_run(task, why, now);
+        this->lose_run(task, why);
     }
 }
 
@@ -154,7 +144,7 @@
         return;
     }
     if (answer.outcome == verdict::other_life) {
-        this->lose_runs_of(*at, "another life answers at its address", now);
+        this->lose_runs_of(*at, "another life answers at its address");
         at->next_look = now + look_retry;
         ++at->missed_looks;
         return;
@@ -271,7 +261,7 @@
         }
     }
     for (const jobs::task_id& task : lost) {
-        this->lose_run(task, "not among the worker's runs", now);
+        this->lose_run(task, "not among the worker's runs");
     }
 }
 
@@ -313,7 +303,7 @@
         const bool room = answer.outcome == verdict::no_room;
         at->blocked_until = now + (room ? no_room_pause : unhealthy_pause);
     }
-    this->lose_run(answer.task, to_string(answer.outcome), now);
+    this->lose_run(answer.task, to_string(answer.outcome));
 }
 
 void cell::request_stop(const jobs::task_id& task, open_run& which, common::steady_time now)
@@ -353,10 +343,10 @@
     for (auto each = this->workers.begin(); each != this->workers.end();) {
         worker_state& at = each->second;
         if (now >= at.runs_until && !at.runs.empty() && at.missed_looks > 0) {
-            this->lose_runs_of(at, "lease ran out while the worker was silent", now);
+            this->lose_runs_of(at, "lease ran out while the worker was silent");
         }
         if (!at.answered && now >= at.runs_until && !at.runs.empty()) {
-            this->lose_runs_of(at, "the earlier owner's leases ran out", now);
+            this->lose_runs_of(at, "the earlier owner's leases ran out");
         }
         const bool gone = !at.listed && at.runs.empty() && !at.look_open;
         if (gone) {
--- a/src/scheduling/tests/cell_fixture.h
+++ b/src/scheduling/tests/cell_fixture.h
@@ -52,7 +52,7 @@
 public:
     explicit fixture(std::vector<worker_entry> entries = {make_worker("w1"), make_worker("w2")},
                      std::vector<stored_job> stored = {})
-        : decides(cell_options{}, 1), listed(std::move(entries))
+        : decides(cell_options{}), listed(std::move(entries))
     {
         policy rules;
         rules.version = 1;
--- a/src/scheduling/tests/cell_tests.cpp
+++ b/src/scheduling/tests/cell_tests.cpp
@@ -415,7 +415,7 @@
 Test(cell, without_authority_nothing_starts_and_leases_are_not_extended)
 {
     // given
-    cell lapsed(cell_options{}, 1);
+    cell lapsed(cell_options{});
     lapsed.extend_authority(at(100));
     lapsed.restore({}, at(0));
     lapsed.see_workers({make_worker("w1")}, at(0));
--- a/src/soak/fleet_world.cpp
+++ b/src/soak/fleet_world.cpp
@@ -230,7 +230,7 @@
     if (this->options.fault == fleet_fault::no_inherited_wait) {
         cell_options.inherited_hold = common::milliseconds(0);
     }
-    made->cell = std::make_unique<scheduling::cell>(cell_options, this->options.seed);
+    made->cell = std::make_unique<scheduling::cell>(cell_options);
     made->cell->configure(this->policy_for_cell());
     std::vector<scheduling::stored_job> stored;
     for (const auto& [id, truth] : this->jobs) {
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -4,6 +4,7 @@
 #include <queue>
 #include <set>
 
+#include "common/random.h"
 #include "scheduling/cell.h"
 
 namespace chervilslip::soak {
