--- a/src/common/event_log.cpp
+++ b/src/common/event_log.cpp
@@ -74,6 +74,9 @@
     {
     }
 
+    unblocking_appender(const unblocking_appender&) = delete;
+    unblocking_appender& operator=(const unblocking_appender&) = delete;
+
     ~unblocking_appender() override
     {
         this->destructorImpl();
--- a/src/daemon/cell_host.h
+++ b/src/daemon/cell_host.h
@@ -65,8 +65,23 @@
     void take_cancel(const std::string& id);
 
 private:
-    struct takeover; ///< what has been read since the claim was won
-    struct write_under_way;
+    /// A failed read of a takeover or of the claim is repeated after this time.
+    static constexpr common::milliseconds read_retry{80};
+
+    /// What has been read since the claim was won.
+    struct takeover {
+        bool head_read = false;
+        bool progress_read = false;
+        bool input_read = false;
+        store::item_map input;
+        std::map<std::string, scheduling::job_progress> progress;
+    };
+
+    struct write_under_way {
+        std::uint64_t batch = 0;
+        store::transaction changes;
+        std::string mark; ///< the journal head's value that this write sets
+    };
 
     void give_up_claim();
     void tick();
--- /dev/null
+++ b/src/daemon/cell_host_actions.cpp
@@ -0,0 +1,238 @@
+// How the owner's decisions are carried out and made durable.
+#include <charconv>
+
+#include "daemon/cell_host.h"
+#include "daemon/store_keys.h"
+
+namespace chervilslip::daemon {
+
+namespace {
+
+using common::event_id;
+
+/// A journal write without a usable answer is repeated after this time.
+constexpr common::milliseconds write_retry{60};
+
+constexpr std::size_t cleaning_batch =
+    30; ///< a transaction has room for so many beside its condition
+
+event_id event_of(scheduling::decision_note::kind what)
+{
+    using kind = scheduling::decision_note::kind;
+    switch (what) {
+    case kind::job_taken:
+        return event_id::job_taken;
+    case kind::task_started:
+        return event_id::task_started;
+    case kind::task_ended:
+        return event_id::task_ended;
+    case kind::task_lost:
+        return event_id::task_lost;
+    case kind::start_refused:
+        return event_id::start_refused;
+    case kind::job_ended:
+        return event_id::job_ended;
+    case kind::job_cancelled:
+        return event_id::job_cancelled;
+    case kind::worker_added:
+        return event_id::worker_added;
+    case kind::worker_lost:
+        return event_id::worker_lost;
+    case kind::worker_suspected:
+        return event_id::worker_suspected;
+    case kind::worker_trusted:
+        return event_id::worker_trusted;
+    }
+    return event_id::worker_suspected;
+}
+
+} // namespace
+
+void cell_host::clean_closed()
+{
+    this->parts.store.range(std::string(store_keys::closed), this->closed_after,
+                            this->for_this_cell([this](common::result<store::range_page> page) {
+                                this->take_closed_page(std::move(page));
+                            }));
+}
+
+void cell_host::take_closed_page(common::result<store::range_page> page)
+{
+    if (!page) {
+        return; // the next cleaning goes on here
+    }
+    std::vector<std::string> old;
+    for (const store::item& each : page.value().items) {
+        this->closed_after = each.key;
+        std::int64_t closed_ms = 0;
+        const auto space = each.value.find(' ');
+        if (space != std::string::npos) {
+            const auto* end = each.value.data() + each.value.size();
+            std::from_chars(each.value.data() + space + 1, end, closed_ms);
+        }
+        if (closed_ms + this->parts.state_time.count() < this->unix_ms() &&
+            old.size() < cleaning_batch) {
+            old.push_back(each.key);
+        }
+    }
+    if (!page.value().more) {
+        this->closed_after.clear();
+    }
+    if (!old.empty()) {
+        this->remove_closed(std::move(old));
+    }
+}
+
+void cell_host::remove_closed(std::vector<std::string> keys)
+{
+    store::transaction changes;
+    changes.expected.push_back({std::string(store_keys::claim), this->token});
+    changes.remove = keys;
+    this->parts.store.commit(
+        changes, this->for_this_cell([this, keys](common::result<store::commit_outcome> outcome) {
+            if (!outcome || !outcome.value().committed) {
+                return; // the next cleaning finds them again
+            }
+            for (const std::string& key : keys) {
+                this->cell->forget_closed(key.substr(store_keys::closed.size()));
+            }
+        }));
+}
+
+void cell_host::run_cell()
+{
+    if (!this->cell) {
+        return;
+    }
+    for (scheduling::action& each : this->cell->take_actions()) {
+        this->carry_out(std::move(each));
+    }
+    if (this->cell->is_fenced()) {
+        this->parts.log.write(event_id::claim_lost,
+                              {{"token", this->token}, {"cause", "a worker has a newer owner"}});
+        this->keeper.depose(this->now());
+        this->drop_cell();
+        this->run_claim_actions();
+    }
+}
+
+void cell_host::carry_out(scheduling::action&& what)
+{
+    if (auto* look = std::get_if<scheduling::look_order>(&what)) {
+        const auto sent_at = this->now();
+        const auto life = look->worker;
+        this->parts.workers.look(
+            *look, this->token,
+            this->for_this_cell(
+                [this, sent_at, life](scheduling::verdict outcome, scheduling::look_report report) {
+                    this->cell->take_look({life, sent_at, outcome, std::move(report)}, this->now());
+                    this->cell->tick(this->now(), this->unix_ms());
+                    this->run_cell();
+                }));
+    } else if (auto* start = std::get_if<scheduling::start_order>(&what)) {
+        this->parts.workers.start(*start, this->token,
+                                  this->for_this_cell([this](scheduling::order_answer answer) {
+                                      this->cell->take_start(answer, this->now());
+                                      this->run_cell();
+                                  }));
+    } else if (auto* stop = std::get_if<scheduling::stop_order>(&what)) {
+        this->parts.workers.stop(*stop, this->token,
+                                 this->for_this_cell([this](scheduling::order_answer answer) {
+                                     this->cell->take_stop(answer, this->now());
+                                     this->run_cell();
+                                 }));
+    } else if (auto* pace = std::get_if<scheduling::pace_order>(&what)) {
+        this->parts.workers.pace(*pace, this->token);
+    } else if (auto* advice = std::get_if<scheduling::advice_order>(&what)) {
+        this->parts.workers.advise(*advice,
+                                   this->for_this_cell([this](scheduling::advice_answer answer) {
+                                       this->cell->take_advice(answer, this->now());
+                                       this->cell->tick(this->now(), this->unix_ms());
+                                       this->run_cell();
+                                   }));
+    } else if (auto* journal = std::get_if<scheduling::journal_order>(&what)) {
+        this->write_journal(std::move(*journal));
+    } else if (auto* note = std::get_if<scheduling::decision_note>(&what)) {
+        this->log_note(*note);
+    }
+}
+
+void cell_host::log_note(const scheduling::decision_note& note)
+{
+    this->parts.log.write(event_of(note.what), {{"subject", note.subject},
+                                                {"detail", note.detail},
+                                                {"token", this->token},
+                                                {"configuration", this->configuration->version}});
+}
+
+void cell_host::write_journal(scheduling::journal_order&& order)
+{
+    this->write = std::make_unique<write_under_way>();
+    this->write->batch = order.batch;
+    this->write->mark = std::to_string(this->token) + ":" + std::to_string(order.batch);
+    store::transaction& changes = this->write->changes;
+    // The claim's creation fences out a deposed owner. The journal head orders this owner's own
+    // writes, so that one whose answer was lost can not take effect after a later one.
+    changes.expected.push_back({std::string(store_keys::claim), this->token});
+    changes.expected.push_back({std::string(store_keys::journal), this->journal_revision});
+    changes.set.push_back({std::string(store_keys::journal), this->write->mark, 0});
+    for (scheduling::document_change& each : order.changes) {
+        const std::string progress_key = store_keys::of(store_keys::progress, each.job);
+        if (!each.closed) {
+            changes.set.push_back({progress_key, std::move(each.progress), 0});
+            continue;
+        }
+        changes.set.push_back(
+            {store_keys::of(store_keys::closed, each.job),
+             std::to_string(static_cast<int>(each.state)) + " " + std::to_string(this->unix_ms()),
+             0});
+        changes.remove.push_back(store_keys::of(store_keys::jobs, each.job));
+        changes.remove.push_back(store_keys::of(store_keys::cancels, each.job));
+        changes.remove.push_back(progress_key);
+    }
+    this->send_write();
+}
+
+void cell_host::send_write()
+{
+    this->parts.store.commit(
+        this->write->changes,
+        this->for_this_cell([this](common::result<store::commit_outcome> outcome) {
+            this->take_write(std::move(outcome));
+        }));
+}
+
+void cell_host::take_write(common::result<store::commit_outcome> outcome)
+{
+    if (!outcome) {
+        this->parts.log.write(event_id::journal_failed, {{"error", outcome.error().to_string()},
+                                                         {"batch", this->write->batch}});
+        auto retry = std::make_shared<boost::asio::steady_timer>(this->parts.context, write_retry);
+        retry->async_wait(this->for_this_cell(
+            [this, retry](const boost::system::error_code&) { this->send_write(); }));
+        return;
+    }
+    bool applied = outcome.value().committed;
+    std::int64_t revision = outcome.value().revision;
+    for (const store::item& each : outcome.value().current) {
+        if (each.key == store_keys::journal && each.value == this->write->mark) {
+            applied = true; // an earlier try of the same write was carried out
+            revision = each.revision;
+        }
+    }
+    if (!applied) {
+        this->parts.log.write(event_id::claim_lost,
+                              {{"token", this->token}, {"cause", "the journal has a newer owner"}});
+        this->keeper.depose(this->now());
+        this->drop_cell();
+        this->run_claim_actions();
+        return;
+    }
+    this->journal_revision = revision;
+    const std::uint64_t batch = this->write->batch;
+    this->write.reset();
+    this->cell->journal_durable(batch, this->now());
+    this->run_cell();
+}
+
+} // namespace chervilslip::daemon
