--- a/src/scheduling/cell.h
+++ b/src/scheduling/cell.h
@@ -188,7 +188,7 @@
     void see_worker(const worker_entry& entry, common::steady_time now);
     void look_if_due(worker_state& at, common::steady_time now);
     void match_running(worker_state& at, const look_answer& answer, common::steady_time now);
-    void match_missing(worker_state& at, const look_answer& answer, common::steady_time now);
+    void match_missing(worker_state& at, const look_answer& answer);
     void pace_fillers(worker_state& at, common::steady_time now);
     void lose_runs_of(worker_state& at, std::string_view why);
     void drop_silent_workers(common::steady_time now);
--- a/src/scheduling/cell_workers.cpp
+++ b/src/scheduling/cell_workers.cpp
@@ -175,7 +175,7 @@
     }
     at->acknowledge_durable();
     this->match_running(*at, answer, now);
-    this->match_missing(*at, answer, now);
+    this->match_missing(*at, answer);
     this->pace_fillers(*at, now);
     at->next_look =
         first || was_silent ? now : now + (at->pending.empty() ? look_gap : look_gap_unwritten);
@@ -239,7 +239,7 @@
     at.look_wait = watched_wait;
 }
 
-void cell::match_missing(worker_state& at, const look_answer& answer, common::steady_time now)
+void cell::match_missing(worker_state& at, const look_answer& answer)
 {
     std::set<jobs::task_id> listed;
     for (const running_row& row : answer.report.running) {
