Hold a cancel that is seen before its job

The owner's view of the store lists cancels before jobs; when the hint of a job was lost, both came at once, the cancel met no job and was dropped. Ruled out: a late start (no answer was missing), a takeover (same owner throughout). Change: the cell keeps such a cancel for the job (test a_cancel_that_is_seen_before_its_job_holds).

--- a/src/scheduling/cell.h
+++ b/src/scheduling/cell.h
@@ -62,7 +62,8 @@
     /// Takes a job that is durable. A job that is known already is left as it is.
     void take_job(const jobs::job& accepted, common::steady_time now);
 
-    /// Takes a caller's cancel that is durable. Unknown jobs are left alone.
+    /// Takes a caller's cancel that is durable. One of a job that is not known yet holds once the
+    /// job is taken.
     void cancel_job(const std::string& id, common::steady_time now);
 
     void take_look(const look_answer& answer, common::steady_time now);
@@ -227,6 +228,7 @@
     worker_book workers;
     std::unordered_map<std::string, active_job> jobs_by_id;
     std::unordered_map<std::string, jobs::job_state> closed_states;
+    std::set<std::string> early_cancels; ///< of jobs that are not known yet
     std::map<jobs::task_id, open_run> open_runs;
     std::map<std::string, teams::resources> team_use;
     std::set<std::string> dirty_jobs;
--- a/src/scheduling/cell_jobs.cpp
+++ b/src/scheduling/cell_jobs.cpp
@@ -75,7 +75,7 @@
             }
         }
     }
-    if (stored.cancelled) {
+    if (stored.cancelled || this->early_cancels.erase(id) > 0) {
         this->cancel_job(id, now);
     }
     if (jobs::is_final(job.progress.state)) {
@@ -98,6 +98,9 @@
 void cell::cancel_job(const std::string& id, common::steady_time now)
 {
     active_job* job = this->find_job(id);
+    if (job == nullptr && !this->closed_states.contains(id)) {
+        this->early_cancels.insert(id);
+    }
     if (job == nullptr || jobs::is_final(job->progress.state)) {
         return;
     }
--- a/src/scheduling/tests/cell_tests.cpp
+++ b/src/scheduling/tests/cell_tests.cpp
@@ -334,6 +334,22 @@
     cr_assert(cell.decides.state_of("j1") == jobs::job_state::cancelled);
 }
 
+Test(cell, a_cancel_that_is_seen_before_its_job_holds)
+{
+    // given: the store lists cancels before jobs, and the hint of the job was lost
+    fixture cell;
+    cell.greet_all();
+    cell.decides.cancel_job("j1", cell.now());
+
+    // when
+    cell.take_job(make_job("j1"));
+    cell.run(cell.now_ms + 100);
+
+    // then
+    cr_assert(cell.starts.empty());
+    cr_assert(cell.decides.state_of("j1") == jobs::job_state::cancelled);
+}
+
 Test(cell, attempts_end_a_job_and_the_last_is_made_elsewhere)
 {
     // given
