Let a retry run where every worker has failed last

Retries were kept off each worker whose last end had failed, and in a quiet pool nothing was done there in between. Ruled out: limits and capacity (most of the pool was free), a silent worker (looks answered). Change: retries are kept off for 1.5 s, later only by preference (test a_retry_is_not_kept_waiting_where_all_workers_have_failed).

--- a/src/scheduling/cell_jobs.cpp
+++ b/src/scheduling/cell_jobs.cpp
@@ -202,6 +202,7 @@
         }
     } else if (row.cause == end_cause::failed) {
         ++at.failures_in_a_row;
+        at.last_failed = now;
     }
     this->end_run(*job, row.task, row.cause, row.checkpoint, now);
     at.pending.push_back({row.number, row.task.job, 0, false});
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -14,6 +14,10 @@
 /// A worker whose last task was done within this time is taken as sound for a retry.
 constexpr common::milliseconds proven_time{5000};
 
+/// After a failed run a worker gets no retries for this time; others are preferred after it as
+/// well.
+constexpr common::milliseconds retry_elsewhere{1500};
+
 double used_part(std::int64_t used, std::int64_t of)
 {
     return of > 0 ? static_cast<double>(used) / static_cast<double>(of) : 0.0;
@@ -51,10 +55,10 @@
         return std::nullopt;
     }
     const bool doubtful = worker.failures_in_a_row >= doubtful_failures;
-    if (doubtful && (wanted.retried || !worker.runs.empty())) {
-        return std::nullopt;
-    }
-    if (wanted.retried && worker.failures_in_a_row > 0) {
+    // Only for a while: where all workers have failed last, a retry would never find one.
+    const bool failed_lately =
+        worker.failures_in_a_row > 0 && now - worker.last_failed < retry_elsewhere;
+    if ((doubtful && !worker.runs.empty()) || (wanted.retried && failed_lately)) {
         return std::nullopt;
     }
     // The fullest VM that has room is taken, so that others become idle and can be moved.
--- a/src/scheduling/tests/cell_tests.cpp
+++ b/src/scheduling/tests/cell_tests.cpp
@@ -381,6 +381,28 @@
     cr_assert(cell.decides.state_of("j1") == jobs::job_state::failed);
 }
 
+Test(cell, a_retry_is_not_kept_waiting_where_all_workers_have_failed)
+{
+    // given: the only worker has failed the task, and nothing else runs that could be done there
+    fixture cell({make_worker("w1")});
+    cell.greet_all();
+    cell.take_job(make_job("j1"));
+    const start_order first = cell.starts.at(0);
+    cell.answer_start(first, verdict::accepted);
+    cell.now_ms += 100;
+    cell.answer_look("w1", {}, {ended(1, first, end_cause::failed)});
+
+    // when
+    cell.run(cell.now_ms + 1000);
+    const std::size_t soon = cell.starts.size();
+    cell.run(cell.now_ms + 1000);
+    cell.run(cell.now_ms + 100);
+
+    // then
+    cr_assert(soon == 1);
+    cr_assert(cell.starts.size() == 2);
+}
+
 Test(cell, a_team_never_starts_beyond_its_limit)
 {
     // given
--- a/src/scheduling/worker_book.h
+++ b/src/scheduling/worker_book.h
@@ -45,6 +45,7 @@
 
     std::int64_t failures_in_a_row = 0; ///< ends `failed` since the last `done`
     common::steady_time last_done;
+    common::steady_time last_failed;
     common::steady_time blocked_until; ///< takes nothing before this time
     common::steady_time idle_since;
 
