--- a/src/daemon/fleet_keeper.cpp
+++ b/src/daemon/fleet_keeper.cpp
@@ -228,11 +228,11 @@
     this->configuration = std::move(newer);
 }
 
-void fleet_keeper::see_waves(const std::vector<maintenance::wave_request>& waves)
+void fleet_keeper::see_waves(const std::vector<maintenance::wave_request>& asked)
 {
-    this->waves = waves;
+    this->waves = asked;
     if (this->earlier_read) {
-        this->planner.see_waves(waves, this->parts.clock.steady_now());
+        this->planner.see_waves(asked, this->parts.clock.steady_now());
     }
 }
 
--- a/src/daemon/fleet_keeper.h
+++ b/src/daemon/fleet_keeper.h
@@ -44,7 +44,7 @@
                  common::steady_time claimed_at);
 
     void configure(std::shared_ptr<const fleet_configuration> newer);
-    void see_waves(const std::vector<maintenance::wave_request>& waves);
+    void see_waves(const std::vector<maintenance::wave_request>& asked);
 
     /// Gives no more orders, and calls `closed` once none is under way and the store says so. The
     /// next holder may then begin at once.
--- /dev/null
+++ b/src/fakes/run_model.cpp
@@ -0,0 +1,206 @@
+#include "fakes/run_model.h"
+
+#include <algorithm>
+
+namespace chervilslip::fakes {
+
+namespace {
+
+using scheduling::end_cause;
+using scheduling::verdict;
+
+constexpr std::int64_t longest_hold_ms = 6000;
+constexpr std::int64_t full_percent = 100;
+
+} // namespace
+
+run_model::run_model(scheduling::worker_entry entry, run_model_options wanted, run_hooks to_tell)
+    : told(std::move(entry)), options(wanted), hooks(std::move(to_tell))
+{
+}
+
+void run_model::begin_life(const scheduling::worker_life& life, std::int64_t clock_offset_ms)
+{
+    this->crash();
+    this->told.life = life;
+    this->options.clock_offset_ms = clock_offset_ms;
+    this->highest_token = 0;
+    this->deadline = 0;
+    this->highest_run.clear();
+    this->ended.clear();
+    this->ends = 0;
+    this->lapsed_ends.clear();
+}
+
+verdict run_model::admit(const scheduling::worker_life& meant, std::int64_t token)
+{
+    if (meant != this->told.life) {
+        return verdict::other_life;
+    }
+    if (token < this->highest_token && !this->options.obeys_older_owners) {
+        return verdict::fenced;
+    }
+    this->highest_token = std::max(this->highest_token, token);
+    return verdict::accepted;
+}
+
+verdict run_model::look(const scheduling::worker_life& meant, std::int64_t token,
+                        std::int64_t acknowledged, std::optional<std::int64_t> deadline_ms,
+                        std::int64_t now)
+{
+    const verdict outcome = this->admit(meant, token);
+    if (outcome == verdict::accepted) {
+        this->note_ends(acknowledged);
+        if (deadline_ms) {
+            this->extend(*deadline_ms, now);
+        }
+    }
+    return outcome;
+}
+
+verdict run_model::start(const scheduling::worker_life& meant, std::int64_t token,
+                         const run_request& request, std::int64_t now)
+{
+    const verdict outcome = this->admit(meant, token);
+    if (outcome != verdict::accepted) {
+        return outcome;
+    }
+    if (this->clock(now) > request.deadline_ms) {
+        return verdict::too_late;
+    }
+    this->extend(request.deadline_ms, now);
+    std::int64_t& highest = this->highest_run[request.task];
+    if (request.run <= highest) {
+        const auto found = this->running.find(request.task);
+        const bool same = found != this->running.end() && found->second.run == request.run;
+        return same ? verdict::accepted : verdict::run_too_low;
+    }
+    if (this->options.guards_capacity && !this->fits(request.size)) {
+        return verdict::no_room;
+    }
+    highest = request.run;
+    run_request begun = request;
+    if (this->hooks.on_start) {
+        this->hooks.on_start(*this, begun);
+    }
+    this->running[request.task] = begun;
+    return verdict::accepted;
+}
+
+verdict run_model::stop(const scheduling::worker_life& meant, std::int64_t token,
+                        const jobs::task_id& task, std::int64_t run)
+{
+    const verdict outcome = this->admit(meant, token);
+    if (outcome != verdict::accepted) {
+        return outcome;
+    }
+    std::int64_t& highest = this->highest_run[task];
+    highest = std::max(highest, run);
+    const auto found = this->running.find(task);
+    if (found != this->running.end() && found->second.run == run) {
+        this->end_run(task, end_cause::stopped);
+    }
+    return verdict::accepted;
+}
+
+void run_model::settle(std::int64_t now)
+{
+    std::vector<jobs::task_id> over;
+    for (const auto& [task, run] : this->running) {
+        if (run.ends && *run.ends <= now) {
+            over.push_back(task);
+        }
+    }
+    for (const jobs::task_id& task : over) {
+        this->end_run(task, this->running[task].fails ? end_cause::failed : end_cause::done);
+    }
+    if (this->clock(now) <= this->deadline) {
+        return;
+    }
+    while (!this->running.empty()) {
+        this->end_run(this->running.begin()->first, end_cause::lapsed);
+    }
+    for (const scheduling::finished_row& row : this->ended) {
+        this->lapsed_ends.insert(row.number);
+    }
+}
+
+void run_model::crash()
+{
+    this->running.clear();
+}
+
+scheduling::look_report run_model::report(std::int64_t now) const
+{
+    scheduling::look_report seen;
+    seen.born_ms = this->told.life.born_ms;
+    seen.clock_ms = this->clock(now);
+    for (const auto& [task, run] : this->running) {
+        seen.running.push_back({task, run.run, {}, full_percent, 0});
+    }
+    seen.finished = this->ended;
+    return seen;
+}
+
+std::int64_t run_model::clock(std::int64_t now) const
+{
+    return this->options.clock_offset_ms +
+           static_cast<std::int64_t>(static_cast<double>(now) * this->options.clock_rate);
+}
+
+const scheduling::worker_entry& run_model::entry() const
+{
+    return this->told;
+}
+
+const std::map<jobs::task_id, run_request>& run_model::runs() const
+{
+    return this->running;
+}
+
+bool run_model::has_ends() const
+{
+    return !this->ended.empty();
+}
+
+std::int64_t run_model::ends_so_far() const
+{
+    return this->ends;
+}
+
+bool run_model::fits(const teams::resources& size) const
+{
+    teams::resources used = size;
+    for (const auto& [task, run] : this->running) {
+        used += run.size;
+    }
+    return this->told.capacity.holds(used);
+}
+
+void run_model::extend(std::int64_t deadline_ms, std::int64_t now)
+{
+    this->deadline =
+        std::max(this->deadline, std::min(deadline_ms, this->clock(now) + longest_hold_ms));
+}
+
+void run_model::note_ends(std::int64_t number)
+{
+    for (const scheduling::finished_row& row : this->ended) {
+        if (row.number <= number && this->hooks.on_noted) {
+            this->hooks.on_noted(row, this->lapsed_ends.contains(row.number));
+        }
+    }
+    std::erase_if(this->ended, [number](const auto& row) { return row.number <= number; });
+}
+
+void run_model::end_run(const jobs::task_id& task, end_cause cause)
+{
+    const std::int64_t run = this->running.at(task).run;
+    this->running.erase(task);
+    this->ended.push_back({++this->ends, task, run, cause, {}});
+    if (this->hooks.on_end) {
+        this->hooks.on_end(task, cause);
+    }
+}
+
+} // namespace chervilslip::fakes
--- /dev/null
+++ b/src/fakes/run_model.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+
+#include "scheduling/messages.h"
+
+namespace chervilslip::fakes {
+
+/// One run that a worker is told to start.
+struct run_request {
+    jobs::task_id task;
+    std::int64_t run = 0;
+    std::int64_t deadline_ms = 0;     ///< on the worker's clock
+    teams::resources size;            ///< what it takes of the worker's capacity
+    std::optional<std::int64_t> ends; ///< when it ends by itself; nothing: it lasts
+    bool fails = false;               ///< how it ends
+
+    friend bool operator==(const run_request&, const run_request&) = default;
+};
+
+class run_model;
+
+/// What a worker tells its test of. All are optional.
+struct run_hooks {
+    /// A run is about to begin; the request may still say how it ends.
+    std::function<void(const run_model&, run_request&)> on_start;
+    std::function<void(const jobs::task_id&, scheduling::end_cause)> on_end;
+    /// An end is noted; `lapsed`: the worker's lease ran out between the two.
+    std::function<void(const scheduling::finished_row&, bool lapsed)> on_noted;
+};
+
+/// How a worker differs from others.
+struct run_model_options {
+    std::int64_t clock_offset_ms = 0;
+    double clock_rate = 1.0;
+    bool guards_capacity = false;    ///< refuses what does not fit
+    bool obeys_older_owners = false; ///< a planted fault
+
+    friend bool operator==(const run_model_options&, const run_model_options&) = default;
+};
+
+/// A worker that runs tasks under leases, without I/O. Times are milliseconds of the test's own
+/// clock. Not thread safe. Precondition: time never goes back.
+class run_model {
+public:
+    run_model(scheduling::worker_entry entry, run_model_options wanted, run_hooks hooks);
+
+    /// Begins another life, which knows nothing of the one before.
+    void begin_life(const scheduling::worker_life& life, std::int64_t clock_offset_ms);
+
+    /// Renews leases up to `deadline_ms` and notes ends up to `acknowledged`.
+    scheduling::verdict look(const scheduling::worker_life& meant, std::int64_t token,
+                             std::int64_t acknowledged, std::optional<std::int64_t> deadline_ms,
+                             std::int64_t now);
+
+    /// Starts a run, or says why not.
+    scheduling::verdict start(const scheduling::worker_life& meant, std::int64_t token,
+                              const run_request& request, std::int64_t now);
+
+    /// Ends a run; one that is not there yet will be refused.
+    scheduling::verdict stop(const scheduling::worker_life& meant, std::int64_t token,
+                             const jobs::task_id& task, std::int64_t run);
+
+    /// Ends what is over, or whose lease has run out.
+    void settle(std::int64_t now);
+
+    /// Forgets all runs, as at a crash.
+    void crash();
+
+    /// Returns what the worker lists.
+    [[nodiscard]] scheduling::look_report report(std::int64_t now) const;
+
+    [[nodiscard]] std::int64_t clock(std::int64_t now) const;
+    [[nodiscard]] const scheduling::worker_entry& entry() const;
+    [[nodiscard]] const std::map<jobs::task_id, run_request>& runs() const;
+    [[nodiscard]] bool has_ends() const;
+    [[nodiscard]] std::int64_t ends_so_far() const;
+
+private:
+    scheduling::verdict admit(const scheduling::worker_life& meant, std::int64_t token);
+    [[nodiscard]] bool fits(const teams::resources& size) const;
+    void extend(std::int64_t deadline_ms, std::int64_t now);
+    void note_ends(std::int64_t number);
+    void end_run(const jobs::task_id& task, scheduling::end_cause cause);
+
+    scheduling::worker_entry told;
+    run_model_options options;
+    run_hooks hooks;
+    std::int64_t highest_token = 0;
+    std::int64_t deadline = 0; ///< on its own clock
+    std::map<jobs::task_id, run_request> running;
+    std::map<jobs::task_id, std::int64_t> highest_run;
+    std::vector<scheduling::finished_row> ended;
+    std::int64_t ends = 0;
+    std::set<std::int64_t> lapsed_ends; ///< listed before a lapse of the lease
+};
+
+} // namespace chervilslip::fakes
--- a/src/soak/fleet_world.cpp
+++ b/src/soak/fleet_world.cpp
@@ -5,33 +5,18 @@
 namespace {
 
 using scheduling::end_cause;
-using scheduling::verdict;
 
 constexpr std::int64_t calm_ms = 30'000; ///< longer than any order can be late, and a hold
-constexpr std::int64_t longest_hold_ms = 6000;
 constexpr std::int64_t owner_tick_ms = 15;
 constexpr std::int64_t registry_lag_ms = 4500;
-constexpr std::int64_t unanswered_after_ms = 500;
-constexpr std::int64_t latest_order_ms = 12'000;
 constexpr std::int64_t team_limit = 20'000;
 constexpr std::int64_t vm_processors = 6000;
 constexpr std::int64_t max_attempts = 3;
 constexpr std::int64_t unix_origin = 1'700'000'000'000;
 constexpr std::size_t most_traces = 5;
 
-common::steady_time steady(std::int64_t ms)
-{
-    return common::steady_time(std::chrono::hours(1) + common::milliseconds(ms));
-}
-
 } // namespace
 
-std::int64_t fleet_world::worker_model::clock(std::int64_t now) const
-{
-    return this->clock_offset +
-           static_cast<std::int64_t>(static_cast<double>(now) * this->clock_rate);
-}
-
 fleet_world::fleet_world(fleet_world_options wanted) : options(wanted), random(wanted.seed)
 {
 }
@@ -47,7 +32,7 @@
         auto first = this->events.extract(this->events.begin());
         this->now = first.key().first;
         for (worker_model& each : this->workers) {
-            this->settle_worker(each);
+            each.runs.settle(this->now);
         }
         first.mapped()();
     }
@@ -72,6 +57,13 @@
     return this->now >= this->options.duration_ms;
 }
 
+fleet_world::worker_model& fleet_world::worker_of(const std::string& id)
+{
+    return *std::find_if(
+        this->workers.begin(), this->workers.end(),
+        [&id](const worker_model& each) { return each.runs.entry().life.id == id; });
+}
+
 bool fleet_world::reaches(const worker_model& which) const
 {
     return which.alive && this->now >= which.cut_until;
@@ -101,16 +93,32 @@
 
 void fleet_world::make_workers()
 {
+    fakes::run_hooks hooks;
+    hooks.on_start = [this](const fakes::run_model& at, fakes::run_request& request) {
+        this->check_start(at, request.task);
+        this->choose_end(request);
+    };
+    hooks.on_end = [this](const jobs::task_id& task, end_cause cause) {
+        if (cause == end_cause::done) {
+            this->jobs.at(task.job).done.insert(task);
+        }
+    };
+    hooks.on_noted = [this](const scheduling::finished_row& row, bool lapsed) {
+        this->note_end(row, lapsed);
+    };
     for (int i = 0; i < this->options.workers; ++i) {
-        worker_model& made = this->workers.emplace_back();
-        made.entry.life = {"w" + std::to_string(i), 1};
-        made.entry.vm = "vm" + std::to_string(i);
-        made.entry.pool = "main";
-        made.entry.address = "10.0.0.1:80";
-        made.entry.rack = "r" + std::to_string(i / 2);
-        made.entry.capacity = {vm_processors, 64'000, 0, 0};
-        made.clock_offset = static_cast<std::int64_t>(this->random.below(1'000'000));
-        made.clock_rate = 1.0 - 0.02 * this->random.unit();
+        scheduling::worker_entry entry;
+        entry.life = {"w" + std::to_string(i), 1};
+        entry.vm = "vm" + std::to_string(i);
+        entry.pool = "main";
+        entry.address = "10.0.0.1:80";
+        entry.rack = "r" + std::to_string(i / 2);
+        entry.capacity = {vm_processors, 64'000, 0, 0};
+        fakes::run_model_options wanted;
+        wanted.clock_offset_ms = static_cast<std::int64_t>(this->random.below(1'000'000));
+        wanted.clock_rate = 1.0 - 0.02 * this->random.unit();
+        wanted.obeys_older_owners = this->options.fault == fleet_fault::ignore_fences;
+        this->workers.push_back({fakes::run_model(std::move(entry), wanted, hooks)});
     }
 }
 
@@ -194,20 +202,15 @@
         return;
     }
     which.alive = false;
-    which.runs.clear();
+    which.runs.crash();
     which.listed_until = this->now + registry_lag_ms;
-    const auto index = &which - this->workers.data();
-    this->at(this->now + 500 + static_cast<std::int64_t>(this->random.below(6000)), [this, index] {
-        worker_model& reborn = this->workers[static_cast<std::size_t>(index)];
-        reborn.entry.life.born_ms += this->now + 1;
+    const std::string id = which.runs.entry().life.id;
+    this->at(this->now + 500 + static_cast<std::int64_t>(this->random.below(6000)), [this, id] {
+        worker_model& reborn = this->worker_of(id);
+        const std::int64_t born = reborn.runs.entry().life.born_ms + this->now + 1;
         reborn.alive = true;
-        reborn.token = 0;
-        reborn.deadline = 0;
-        reborn.clock_offset = static_cast<std::int64_t>(this->random.below(1'000'000));
-        reborn.highest_run.clear();
-        reborn.ended.clear();
-        reborn.ends = 0;
-        reborn.lapsed_ends.clear();
+        reborn.runs.begin_life({id, born},
+                               static_cast<std::int64_t>(this->random.below(1'000'000)));
         if (this->current) {
             this->tell_workers(this->current);
         }
@@ -291,7 +294,7 @@
     std::vector<scheduling::worker_entry> entries;
     for (const worker_model& each : this->workers) {
         if (each.alive || this->now < each.listed_until) {
-            entries.push_back(each.entry);
+            entries.push_back(each.runs.entry());
             if (this->options.fault == fleet_fault::oversold_capacity) {
                 entries.back().capacity.processors += vm_processors;
             }
@@ -325,302 +328,29 @@
     }
 }
 
-bool fleet_world::commit(std::int64_t token, std::int64_t expected,
-                         const scheduling::journal_order& order)
-{
-    if (token != this->claim_token || expected != this->journal_revision) {
-        return false;
-    }
-    this->journal_revision = ++this->revision;
-    this->journal_mark = std::to_string(token) + ":" + std::to_string(order.batch);
-    if (this->options.fault == fleet_fault::skip_journal) {
-        return true;
-    }
-    for (const scheduling::document_change& each : order.changes) {
-        if (each.closed) {
-            this->stored_closed[each.job] = each.state;
-            this->stored_progress.erase(each.job);
-        } else {
-            this->stored_progress[each.job] = each.progress;
-        }
-    }
-    return true;
-}
-
-void fleet_world::write_journal(const owner& which, int tries)
-{
-    const auto order = *which->writing;
-    const std::int64_t expected = which->journal_revision;
-    const bool lost = !this->calm() && this->random.chance(0.1);
-    const bool late = lost && this->random.chance(0.5);
-    const std::int64_t done_at =
-        this->now + (late ? 1000 + static_cast<std::int64_t>(this->random.below(5000)) : 4);
-    const bool dropped = lost && !late && this->random.chance(0.5);
-    auto outcome = std::make_shared<std::optional<bool>>();
-    if (!dropped) {
-        this->at(done_at, [this, which, order, expected, outcome] {
-            *outcome = this->commit(which->token, expected, order);
-        });
-    }
-    this->at(this->now + (lost ? unanswered_after_ms : 8), [this, which, order, outcome, lost,
-                                                            tries] {
-        if (which->gone) {
-            return;
-        }
-        const std::string mark = std::to_string(which->token) + ":" + std::to_string(order.batch);
-        if (lost) {
-            this->write_journal(which, tries + 1);
-        } else if (outcome->value_or(false) ||
-                   (this->journal_mark == mark && which->token == this->claim_token)) {
-            which->journal_revision = this->journal_revision;
-            which->writing.reset();
-            which->cell->journal_durable(order.batch, steady(this->now));
-            this->run_cell(which);
-        } else {
-            which->gone = true; // deposed
-        }
-    });
-}
-
-void fleet_world::send_look(const owner& which, const scheduling::look_order& order)
-{
-    const bool lost = !this->calm() && this->random.chance(0.02);
-    const bool late = lost && this->random.chance(0.5);
-    const std::int64_t arrival =
-        this->now + 1 + static_cast<std::int64_t>(this->random.below(4)) +
-        (late ? 2000 + static_cast<std::int64_t>(this->random.below(10'000)) : 0);
-    const std::int64_t sent = this->now;
-    const std::int64_t answer_by = this->now + order.wait.count() + unanswered_after_ms;
-    this->at(arrival, [this, which, order, sent, answer_by, lost] {
-        this->do_look(which, order, sent, answer_by, !lost);
-    });
-    auto answered = [this, which, order, sent, answer_by] {
-        if (!which->gone) {
-            which->cell->take_look({order.worker, steady(sent), verdict::unknown, {}},
-                                   steady(this->now));
-            this->run_cell(which);
-        }
-    };
-    if (lost) {
-        this->at(answer_by, answered);
-    }
-}
-
-void fleet_world::do_look(const owner& which, scheduling::look_order order, std::int64_t sent,
-                          std::int64_t answer_by, bool answered)
-{
-    const auto found =
-        std::find_if(this->workers.begin(), this->workers.end(), [&](const worker_model& each) {
-            return each.entry.life.id == order.worker.id;
-        });
-    worker_model& at = *found;
-    verdict outcome = verdict::accepted;
-    if (!this->reaches(at)) {
-        if (answered) {
-            this->at(answer_by, [this, which, order, sent] {
-                if (!which->gone) {
-                    which->cell->take_look({order.worker, steady(sent), verdict::unknown, {}},
-                                           steady(this->now));
-                    this->run_cell(which);
-                }
-            });
-        }
-        return;
-    }
-    if (at.entry.life != order.worker) {
-        outcome = verdict::other_life;
-    } else if (which->token < at.token && this->options.fault != fleet_fault::ignore_fences) {
-        outcome = verdict::fenced;
-    }
-    scheduling::look_report seen;
-    if (outcome == verdict::accepted) {
-        at.token = std::max(at.token, which->token);
-        const std::int64_t acknowledged =
-            this->options.fault == fleet_fault::acknowledge_early ? at.ends : order.acknowledged;
-        this->acknowledge(at, acknowledged);
-        if (order.deadline_ms) {
-            at.deadline = std::max(
-                at.deadline, std::min(*order.deadline_ms, at.clock(this->now) + longest_hold_ms));
-        }
-        if (at.ended.empty() && this->now < sent + order.wait.count() && answered) {
-            order.deadline_ms.reset();
-            this->at(std::min(this->now + 20, sent + order.wait.count()),
-                     [this, which, order, sent, answer_by] {
-                         this->do_look(which, order, sent, answer_by, true);
-                     });
-            return;
-        }
-        seen.born_ms = at.entry.life.born_ms;
-        seen.clock_ms = at.clock(this->now);
-        for (const auto& [task, run] : at.runs) {
-            seen.running.push_back({task, run.run, {}, 100, 0});
-        }
-        seen.finished = at.ended;
-    }
-    if (!answered) {
-        return;
-    }
-    this->at(this->now + 2, [this, which, order, sent, outcome, seen] {
-        if (!which->gone) {
-            which->cell->take_look({order.worker, steady(sent), outcome, seen}, steady(this->now));
-            this->run_cell(which);
-        }
-    });
-}
-
-void fleet_world::send_start(const owner& which, const scheduling::start_order& order)
+void fleet_world::choose_end(fakes::run_request& request)
 {
-    ++this->report.starts;
-    const bool lost = !this->calm() && this->random.chance(0.06);
-    const bool late = lost && this->random.chance(0.5);
-    const std::int64_t arrival =
-        this->now + 1 + static_cast<std::int64_t>(this->random.below(4)) +
-        (late ? 500 + static_cast<std::int64_t>(this->random.below(latest_order_ms)) : 0);
-    auto outcome = std::make_shared<verdict>(verdict::unknown);
-    this->at(arrival,
-             [this, which, order, outcome] { *outcome = this->do_start(which->token, order); });
-    this->at(lost ? this->now + unanswered_after_ms : arrival + 1,
-             [this, which, order, outcome, lost] {
-                 if (which->gone) {
-                     return;
-                 }
-                 scheduling::order_answer answer{order.worker, order.task, order.run,
-                                                 lost ? verdict::unknown : *outcome, 0};
-                 which->cell->take_start(answer, steady(this->now));
-                 this->run_cell(which);
-             });
-}
-
-verdict fleet_world::do_start(std::int64_t token, const scheduling::start_order& order)
-{
-    const auto found =
-        std::find_if(this->workers.begin(), this->workers.end(), [&](const worker_model& each) {
-            return each.entry.life.id == order.worker.id;
-        });
-    worker_model& at = *found;
-    if (!this->reaches(at)) {
-        return verdict::unknown;
-    }
-    if (at.entry.life != order.worker) {
-        return verdict::other_life;
-    }
-    if (token < at.token && this->options.fault != fleet_fault::ignore_fences) {
-        return verdict::fenced;
-    }
-    at.token = std::max(at.token, token);
-    const std::int64_t clock = at.clock(this->now);
-    if (clock > order.deadline_ms) {
-        return verdict::too_late;
+    const job_truth& truth = this->jobs.at(request.task.job);
+    request.fails = truth.hopeless || this->random.chance(0.02);
+    if (!truth.job.steps.at(request.task.step).long_running) {
+        request.ends = this->now + 200 + static_cast<std::int64_t>(this->random.below(1800));
     }
-    std::int64_t& highest = at.highest_run[order.task];
-    if (order.run <= highest) {
-        return at.runs.contains(order.task) && at.runs[order.task].run == order.run
-                   ? verdict::accepted
-                   : verdict::run_too_low;
-    }
-    highest = order.run;
-    at.deadline = std::max(at.deadline, std::min(order.deadline_ms, clock + longest_hold_ms));
-    this->check_start(at, order.task);
-    const job_truth& truth = this->jobs.at(order.task.job);
-    worker_run run;
-    run.run = order.run;
-    run.fails = truth.hopeless || this->random.chance(0.02);
-    run.ends_at = truth.job.steps[order.task.step].long_running
-                      ? std::numeric_limits<std::int64_t>::max()
-                      : this->now + 200 + static_cast<std::int64_t>(this->random.below(1800));
-    at.runs[order.task] = run;
-    return verdict::accepted;
-}
-
-void fleet_world::send_stop(const owner& which, const scheduling::stop_order& order)
-{
-    const bool lost = !this->calm() && this->random.chance(0.06);
-    const std::int64_t arrival = this->now + 2 + (lost ? 2000 : 0);
-    this->at(arrival, [this, which, order, lost] {
-        const verdict outcome = this->do_stop(which->token, order);
-        if (!which->gone && !lost) {
-            which->cell->take_stop({order.worker, order.task, order.run, outcome, 0},
-                                   steady(this->now));
-            this->run_cell(which);
-        }
-    });
 }
 
-verdict fleet_world::do_stop(std::int64_t token, const scheduling::stop_order& order)
+void fleet_world::note_end(const scheduling::finished_row& row, bool lapsed)
 {
-    for (worker_model& at : this->workers) {
-        if (at.entry.life != order.worker) {
-            continue;
-        }
-        if (!this->reaches(at)) {
-            return verdict::unknown;
-        }
-        if (token < at.token && this->options.fault != fleet_fault::ignore_fences) {
-            return verdict::fenced;
-        }
-        std::int64_t& highest = at.highest_run[order.task];
-        highest = std::max(highest, order.run);
-        const auto run = at.runs.find(order.task);
-        if (run != at.runs.end() && run->second.run == order.run) {
-            this->end_run(at, order.task, end_cause::stopped);
-        }
-        return verdict::accepted;
-    }
-    return verdict::unknown;
-}
-
-void fleet_world::settle_worker(worker_model& which)
-{
-    if (!which.alive) {
+    job_truth& truth = this->jobs.at(row.task.job);
+    if (lapsed) {
         return;
     }
-    std::vector<jobs::task_id> over;
-    for (const auto& [task, run] : which.runs) {
-        if (run.ends_at <= this->now) {
-            over.push_back(task);
-        }
-    }
-    for (const jobs::task_id& task : over) {
-        this->end_run(which, task, which.runs[task].fails ? end_cause::failed : end_cause::done);
-    }
-    if (which.clock(this->now) <= which.deadline) {
-        return;
-    }
-    while (!which.runs.empty()) {
-        this->end_run(which, which.runs.begin()->first, end_cause::lapsed);
-    }
-    for (const scheduling::finished_row& row : which.ended) {
-        which.lapsed_ends.insert(row.number);
-    }
-}
-
-void fleet_world::end_run(worker_model& at, const jobs::task_id& task, end_cause cause)
-{
-    const std::int64_t run = at.runs.at(task).run;
-    at.runs.erase(task);
-    at.ended.push_back({++at.ends, task, run, cause, {}});
-    if (cause == end_cause::done) {
-        this->jobs.at(task.job).done.insert(task);
-    }
-}
-
-void fleet_world::acknowledge(worker_model& at, std::int64_t number)
-{
-    for (const scheduling::finished_row& row : at.ended) {
-        if (row.number > number || at.lapsed_ends.contains(row.number)) {
-            continue;
-        }
-        job_truth& truth = this->jobs.at(row.task.job);
-        if (row.cause == end_cause::done) {
-            truth.done_noted.insert(row.task);
-        } else if (row.cause == end_cause::failed) {
-            ++truth.failures[row.task];
-        }
+    if (row.cause == end_cause::done) {
+        truth.done_noted.insert(row.task);
+    } else if (row.cause == end_cause::failed) {
+        ++truth.failures[row.task];
     }
-    std::erase_if(at.ended, [number](const auto& row) { return row.number <= number; });
 }
 
-void fleet_world::check_start(const worker_model& at, const jobs::task_id& task)
+void fleet_world::check_start(const fakes::run_model& at, const jobs::task_id& task)
 {
     const job_truth& truth = this->jobs.at(task.job);
     const jobs::step& step = truth.job.steps.at(task.step);
@@ -628,14 +358,14 @@
     std::int64_t used = step.each.processors;
     std::int64_t team = step.each.processors;
     for (const worker_model& each : this->workers) {
-        alone = alone && !each.runs.contains(task);
-        for (const auto& [other, run] : each.runs) {
+        alone = alone && !each.runs.runs().contains(task);
+        for (const auto& [other, run] : each.runs.runs()) {
             const auto size = this->jobs.at(other.job).job.steps.at(other.step).each.processors;
             team += size;
-            used += &each == &at ? size : 0;
+            used += &each.runs == &at ? size : 0;
         }
     }
-    const std::string detail = task.to_string() + " on " + at.entry.life.id;
+    const std::string detail = task.to_string() + " on " + at.entry().life.id;
     this->check("one_run", alone, detail);
     this->check("not_after_done", !truth.done_noted.contains(task), detail);
     this->check("capacity", used <= vm_processors, detail);
@@ -660,7 +390,7 @@
         bool runs = false;
         std::set<jobs::task_id> at_work;
         for (const worker_model& each : this->workers) {
-            for (const auto& [task, run] : each.runs) {
+            for (const auto& [task, run] : each.runs.runs()) {
                 runs = runs || task.job == id;
                 at_work.insert(task);
             }
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include <deque>
 #include <map>
-#include <queue>
 #include <set>
 
 #include "common/random.h"
+#include "fakes/run_model.h"
 #include "scheduling/cell.h"
 
 namespace chervilslip::soak {
@@ -56,28 +57,11 @@
     fleet_world_report run();
 
 private:
-    struct worker_run {
-        std::int64_t run = 0;
-        std::int64_t ends_at = 0; ///< never, when it lasts
-        bool fails = false;
-    };
-
     struct worker_model {
-        scheduling::worker_entry entry;
+        fakes::run_model runs;
         bool alive = true;
         std::int64_t listed_until = 0; ///< while it is not alive
         std::int64_t cut_until = 0;
-        std::int64_t clock_offset = 0;
-        double clock_rate = 1.0;
-        std::int64_t token = 0;
-        std::int64_t deadline = 0; ///< on its own clock
-        std::map<jobs::task_id, worker_run> runs;
-        std::map<jobs::task_id, std::int64_t> highest_run;
-        std::vector<scheduling::finished_row> ended;
-        std::int64_t ends = 0;
-        std::set<std::int64_t> lapsed_ends; ///< done before a lapse of the lease
-
-        [[nodiscard]] std::int64_t clock(std::int64_t now) const;
     };
 
     struct owner_model {
@@ -100,6 +84,12 @@
 
     using owner = std::shared_ptr<owner_model>;
 
+    /// Virtual milliseconds as a time of the steady clock.
+    static common::steady_time steady(std::int64_t ms)
+    {
+        return common::steady_time(std::chrono::hours(1) + common::milliseconds(ms));
+    }
+
     void at(std::int64_t time, std::function<void()> action);
     void advance_to(std::int64_t time);
     void check(const std::string& name, bool holds, const std::string& detail);
@@ -124,11 +114,11 @@
     void write_journal(const owner& which, int tries);
     bool commit(std::int64_t token, std::int64_t revision, const scheduling::journal_order& order);
 
-    void settle_worker(worker_model& which);
-    void end_run(worker_model& at, const jobs::task_id& task, scheduling::end_cause cause);
-    void acknowledge(worker_model& at, std::int64_t number);
-    void check_start(const worker_model& at, const jobs::task_id& task);
+    void choose_end(fakes::run_request& request);
+    void note_end(const scheduling::finished_row& row, bool lapsed);
+    void check_start(const fakes::run_model& at, const jobs::task_id& task);
     void check_calm();
+    [[nodiscard]] worker_model& worker_of(const std::string& id);
     [[nodiscard]] bool reaches(const worker_model& which) const;
     [[nodiscard]] bool calm() const;
     [[nodiscard]] scheduling::policy policy_for_cell() const;
@@ -141,7 +131,7 @@
     using event_key = std::pair<std::int64_t, std::uint64_t>;
     std::map<event_key, std::function<void()>> events;
 
-    std::vector<worker_model> workers;
+    std::deque<worker_model> workers;
     std::map<std::string, job_truth> jobs;
     std::map<std::string, std::string> stored_progress;
     std::map<std::string, jobs::job_state> stored_closed;
--- /dev/null
+++ b/src/soak/fleet_world_network.cpp
@@ -0,0 +1,198 @@
+#include "soak/fleet_world.h"
+
+namespace chervilslip::soak {
+
+namespace {
+
+using scheduling::verdict;
+
+constexpr std::int64_t unanswered_after_ms = 500;
+constexpr std::int64_t latest_order_ms = 12'000;
+
+} // namespace
+
+bool fleet_world::commit(std::int64_t token, std::int64_t expected,
+                         const scheduling::journal_order& order)
+{
+    if (token != this->claim_token || expected != this->journal_revision) {
+        return false;
+    }
+    this->journal_revision = ++this->revision;
+    this->journal_mark = std::to_string(token) + ":" + std::to_string(order.batch);
+    if (this->options.fault == fleet_fault::skip_journal) {
+        return true;
+    }
+    for (const scheduling::document_change& each : order.changes) {
+        if (each.closed) {
+            this->stored_closed[each.job] = each.state;
+            this->stored_progress.erase(each.job);
+        } else {
+            this->stored_progress[each.job] = each.progress;
+        }
+    }
+    return true;
+}
+
+void fleet_world::write_journal(const owner& which, int tries)
+{
+    const auto order = *which->writing;
+    const std::int64_t expected = which->journal_revision;
+    const bool lost = !this->calm() && this->random.chance(0.1);
+    const bool late = lost && this->random.chance(0.5);
+    const std::int64_t done_at =
+        this->now + (late ? 1000 + static_cast<std::int64_t>(this->random.below(5000)) : 4);
+    const bool dropped = lost && !late && this->random.chance(0.5);
+    auto outcome = std::make_shared<std::optional<bool>>();
+    if (!dropped) {
+        this->at(done_at, [this, which, order, expected, outcome] {
+            *outcome = this->commit(which->token, expected, order);
+        });
+    }
+    this->at(this->now + (lost ? unanswered_after_ms : 8), [this, which, order, outcome, lost,
+                                                            tries] {
+        if (which->gone) {
+            return;
+        }
+        const std::string mark = std::to_string(which->token) + ":" + std::to_string(order.batch);
+        if (lost) {
+            this->write_journal(which, tries + 1);
+        } else if (outcome->value_or(false) ||
+                   (this->journal_mark == mark && which->token == this->claim_token)) {
+            which->journal_revision = this->journal_revision;
+            which->writing.reset();
+            which->cell->journal_durable(order.batch, steady(this->now));
+            this->run_cell(which);
+        } else {
+            which->gone = true; // deposed
+        }
+    });
+}
+
+void fleet_world::send_look(const owner& which, const scheduling::look_order& order)
+{
+    const bool lost = !this->calm() && this->random.chance(0.02);
+    const bool late = lost && this->random.chance(0.5);
+    const std::int64_t arrival =
+        this->now + 1 + static_cast<std::int64_t>(this->random.below(4)) +
+        (late ? 2000 + static_cast<std::int64_t>(this->random.below(10'000)) : 0);
+    const std::int64_t sent = this->now;
+    const std::int64_t answer_by = this->now + order.wait.count() + unanswered_after_ms;
+    this->at(arrival, [this, which, order, sent, answer_by, lost] {
+        this->do_look(which, order, sent, answer_by, !lost);
+    });
+    auto answered = [this, which, order, sent, answer_by] {
+        if (!which->gone) {
+            which->cell->take_look({order.worker, steady(sent), verdict::unknown, {}},
+                                   steady(this->now));
+            this->run_cell(which);
+        }
+    };
+    if (lost) {
+        this->at(answer_by, answered);
+    }
+}
+
+void fleet_world::do_look(const owner& which, scheduling::look_order order, std::int64_t sent,
+                          std::int64_t answer_by, bool answered)
+{
+    worker_model& at = this->worker_of(order.worker.id);
+    if (!this->reaches(at)) {
+        if (answered) {
+            this->at(answer_by, [this, which, order, sent] {
+                if (!which->gone) {
+                    which->cell->take_look({order.worker, steady(sent), verdict::unknown, {}},
+                                           steady(this->now));
+                    this->run_cell(which);
+                }
+            });
+        }
+        return;
+    }
+    const std::int64_t acknowledged = this->options.fault == fleet_fault::acknowledge_early
+                                          ? at.runs.ends_so_far()
+                                          : order.acknowledged;
+    const verdict outcome =
+        at.runs.look(order.worker, which->token, acknowledged, order.deadline_ms, this->now);
+    if (outcome == verdict::accepted && !at.runs.has_ends() &&
+        this->now < sent + order.wait.count() && answered) {
+        order.deadline_ms.reset();
+        this->at(std::min(this->now + 20, sent + order.wait.count()),
+                 [this, which, order, sent, answer_by] {
+                     this->do_look(which, order, sent, answer_by, true);
+                 });
+        return;
+    }
+    scheduling::look_report seen;
+    if (outcome == verdict::accepted) {
+        seen = at.runs.report(this->now);
+    }
+    if (!answered) {
+        return;
+    }
+    this->at(this->now + 2, [this, which, order, sent, outcome, seen] {
+        if (!which->gone) {
+            which->cell->take_look({order.worker, steady(sent), outcome, seen}, steady(this->now));
+            this->run_cell(which);
+        }
+    });
+}
+
+void fleet_world::send_start(const owner& which, const scheduling::start_order& order)
+{
+    ++this->report.starts;
+    const bool lost = !this->calm() && this->random.chance(0.06);
+    const bool late = lost && this->random.chance(0.5);
+    const std::int64_t arrival =
+        this->now + 1 + static_cast<std::int64_t>(this->random.below(4)) +
+        (late ? 500 + static_cast<std::int64_t>(this->random.below(latest_order_ms)) : 0);
+    auto outcome = std::make_shared<verdict>(verdict::unknown);
+    this->at(arrival,
+             [this, which, order, outcome] { *outcome = this->do_start(which->token, order); });
+    this->at(lost ? this->now + unanswered_after_ms : arrival + 1,
+             [this, which, order, outcome, lost] {
+                 if (which->gone) {
+                     return;
+                 }
+                 scheduling::order_answer answer{order.worker, order.task, order.run,
+                                                 lost ? verdict::unknown : *outcome, 0};
+                 which->cell->take_start(answer, steady(this->now));
+                 this->run_cell(which);
+             });
+}
+
+verdict fleet_world::do_start(std::int64_t token, const scheduling::start_order& order)
+{
+    worker_model& at = this->worker_of(order.worker.id);
+    if (!this->reaches(at)) {
+        return verdict::unknown;
+    }
+    const jobs::step& step = this->jobs.at(order.task.job).job.steps.at(order.task.step);
+    const fakes::run_request request{order.task, order.run, order.deadline_ms,
+                                     step.each,  {},        false};
+    return at.runs.start(order.worker, token, request, this->now);
+}
+
+void fleet_world::send_stop(const owner& which, const scheduling::stop_order& order)
+{
+    const bool lost = !this->calm() && this->random.chance(0.06);
+    const std::int64_t arrival = this->now + 2 + (lost ? 2000 : 0);
+    this->at(arrival, [this, which, order, lost] {
+        const verdict outcome = this->do_stop(which->token, order);
+        if (!which->gone && !lost) {
+            which->cell->take_stop({order.worker, order.task, order.run, outcome, 0},
+                                   steady(this->now));
+            this->run_cell(which);
+        }
+    });
+}
+
+verdict fleet_world::do_stop(std::int64_t token, const scheduling::stop_order& order)
+{
+    worker_model& at = this->worker_of(order.worker.id);
+    if (!this->reaches(at)) {
+        return verdict::unknown;
+    }
+    return at.runs.stop(order.worker, token, order.task, order.run);
+}
+
+} // namespace chervilslip::soak
