Take no lasting task away while an earlier owner's stops may be under way

A stop takes up to 0.9 s at the worker, which lists the task as at work until then; an owner that took over within that time counted the task as present and stopped another of its step. Ruled out: the budget's own count (tests of the last stop pass); orders for VMs (the holder before closes them before it hands over). Change: a cell takes nothing away for stop_grace and 0.3 s after it began.

--- a/src/scheduling/cell.cpp
+++ b/src/scheduling/cell.cpp
@@ -14,6 +14,9 @@
 /// Collects changes for a moment, so that a burst of ends costs one write.
 constexpr common::milliseconds flush_gap{25};
 
+/// An order of an earlier owner may be on its way for this long: a slow link, and a busy worker.
+constexpr common::milliseconds order_lag{300};
+
 } // namespace
 
 std::string_view to_string(verdict value)
@@ -71,6 +74,7 @@
 void cell::restore(std::vector<stored_job> stored, common::steady_time now)
 {
     this->last_now = now;
+    this->earlier_stops_until = now + this->options.stop_grace + order_lag;
     for (stored_job& each : stored) {
         this->add_job(std::move(each), now);
     }
--- a/src/scheduling/cell.h
+++ b/src/scheduling/cell.h
@@ -80,7 +80,8 @@
     /// Keeps new work off a worker (or lets it in again) because its VM is to be moved or serviced.
     void set_cordon(const std::string& worker, bool cordoned);
 
-    /// Stops the lasting runs on a worker as far as their availability budget allows.
+    /// Stops the lasting runs on a worker as far as their availability budget allows. Does nothing
+    /// while stops that an earlier owner has sent may be under way, for they do not show yet.
     void evacuate(const std::string& worker, common::steady_time now);
 
     /// Forgets a closed job, whose state is no longer kept.
@@ -241,6 +242,7 @@
     common::steady_time last_flush;
     common::steady_time authority_until;
     common::steady_time last_now;
+    common::steady_time earlier_stops_until; ///< what an earlier owner stopped has ended by then
     std::int64_t last_unix_ms = 0;
     duration_book durations;
     pace_keeper pace;
--- a/src/scheduling/cell_workers.cpp
+++ b/src/scheduling/cell_workers.cpp
@@ -370,7 +370,7 @@
 void cell::evacuate(const std::string& worker, common::steady_time now)
 {
     const auto found = this->workers.find(worker);
-    if (found == this->workers.end()) {
+    if (found == this->workers.end() || now < this->earlier_stops_until) {
         return;
     }
     const std::set<jobs::task_id> runs = found->second.runs;
--- a/src/scheduling/tests/cell_fixture.h
+++ b/src/scheduling/tests/cell_fixture.h
@@ -47,6 +47,11 @@
     return job;
 }
 
+inline finished_row ended(std::int64_t number, const start_order& order, end_cause cause)
+{
+    return {number, order.task, order.run, cause, {}};
+}
+
 /// One cell with its workers played by the test: orders are collected, answers are given by hand.
 class fixture {
 public:
