--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 BUILD ?= build
 SEED ?= 1
 STEPS ?= 200000
+SEEDS ?= 5
 
-.PHONY: help setup build demo test lint format bench soak trial
+.PHONY: help setup build demo test lint format bench soak fleet-soak trial
 
 help:
 	@echo "make build   install what is needed and build"
@@ -12,6 +13,7 @@
 	@echo "make format  format all sources"
 	@echo "make bench   measure the decisions and the path"
 	@echo "make soak    run SEED=$(SEED) STEPS=$(STEPS) in virtual time"
+	@echo "make fleet-soak  run the fleet's real programs under faults, SEEDS=$(SEEDS) from SEED"
 	@echo "make trial   run a system on loopback under faults and load"
 
 setup:
@@ -25,6 +27,7 @@
 
 demo: build
 	@CHERVILSLIP_BIN=$(CURDIR)/$(BUILD)/bin python3 scripts/demo.py
+	@CHERVILSLIP_BIN=$(CURDIR)/$(BUILD)/bin python3 platform/trial/fleet_demo.py
 
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure
@@ -41,5 +44,8 @@
 soak: build
 	@$(BUILD)/bin/chervilslip-soak --seed $(SEED) --steps $(STEPS)
 
+fleet-soak: build
+	@CHERVILSLIP_BIN=$(CURDIR)/$(BUILD)/bin python3 platform/trial/fleet_soak.py --seed $(SEED) --seeds $(SEEDS)
+
 trial: build
 	@CHERVILSLIP_BIN=$(CURDIR)/$(BUILD)/bin python3 scripts/trial.py
