--- a/src/routing/upstream_view.cpp
+++ b/src/routing/upstream_view.cpp
@@ -82,8 +82,14 @@
 std::vector<departed_upstream> upstream_view::update_vm_list(const std::vector<upstream_info>& vms)
 {
     ++this->list_number;
+    auto next = this->entries.begin(); // lists come in the order of names, as a rule
     for (const upstream_info& info : vms) {
-        const auto [found, is_new] = this->entries.try_emplace(info.vm);
+        const std::size_t before = this->entries.size();
+        const auto found = next != this->entries.end() && next->first == info.vm
+                               ? next
+                               : this->entries.try_emplace(next, info.vm);
+        const bool is_new = this->entries.size() != before;
+        next = std::next(found);
         entry& each = found->second;
         if (each.info.address != info.address) {
             each.epoch.clear();
--- a/src/scheduling/cell.cpp
+++ b/src/scheduling/cell.cpp
@@ -142,7 +142,9 @@
 
 void cell::flush_journal(common::steady_time now)
 {
-    if (this->batch_under_way || this->dirty_jobs.empty() || now < this->last_flush + flush_gap) {
+    const bool full = this->dirty_jobs.size() >= batch_weight;
+    if (this->batch_under_way || this->dirty_jobs.empty() ||
+        (!full && now < this->last_flush + flush_gap)) {
         return;
     }
     this->last_flush = now;
