Let peers carry the owner's orders to workers in large fleets

Ruled out: cells by pool, since limits of teams, moves and waves would have to be divided again, for decisions that cost little. Change: above 100 workers each worker has a peer that carries its orders (msgpack batches; a job's payload once a batch); an order without an answer counts as unanswered, and its peer is avoided for 2 s. Small nodes leave a free claim to others for 0.3 s. A worker that drains is evacuated at each look, so also by an owner that inherits its tasks (test failed before); the test of AVAIL holds for workers that stay.

--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -66,6 +66,7 @@
     bad_request = 6001,
     connection_refused = 6002,
     peer_refused = 6003,
+    peer_avoided = 6004,
 };
 
 /// One row of the catalogue of log events.
@@ -75,7 +76,7 @@
     severity level;
 };
 
-inline constexpr std::array<event_entry, 53> event_catalogue{{
+inline constexpr std::array<event_entry, 54> event_catalogue{{
     {event_id::node_started, "node_started", severity::info},
     {event_id::node_ready, "node_ready", severity::info},
     {event_id::node_stopping, "node_stopping", severity::info},
@@ -129,6 +130,7 @@
     {event_id::bad_request, "bad_request", severity::info},
     {event_id::connection_refused, "connection_refused", severity::warning},
     {event_id::peer_refused, "peer_refused", severity::warning},
+    {event_id::peer_avoided, "peer_avoided", severity::warning},
 }};
 
 /// Writes numbered events as one JSON object a line through log4cplus.
--- a/src/daemon/cell_host.cpp
+++ b/src/daemon/cell_host.cpp
@@ -44,7 +44,7 @@
 cell_host::cell_host(host_parts with, process_name own_name, std::string own_address,
                      std::uint64_t random_seed)
     : parts(std::move(with)), self(std::move(own_name)), address(std::move(own_address)),
-      keeper(this->self.node, ownership::claim_options{}, random_seed), timer(this->parts.context)
+      keeper(this->self.node, this->parts.claim, random_seed), timer(this->parts.context)
 {
 }
 
--- a/src/daemon/cell_host.h
+++ b/src/daemon/cell_host.h
@@ -27,6 +27,9 @@
     common::milliseconds state_time; ///< how long a closed job's state is kept
     std::function<bool(const process_name&)>
         has_ended; ///< whether a process is known to have ended
+    std::function<void(const std::vector<scheduling::worker_entry>&)>
+        on_workers; ///< is told of the workers of which the owner knows
+    ownership::claim_options claim;
 };
 
 /// Holds the claim when it can, and then runs the fleet's decisions: reads what an earlier owner
--- a/src/daemon/cell_host_takeover.cpp
+++ b/src/daemon/cell_host_takeover.cpp
@@ -33,6 +33,7 @@
         this->for_this_cell([this](const std::vector<scheduling::worker_entry>& listed) {
             this->entries = listed;
             this->entries_read = true;
+            this->parts.on_workers(this->entries);
             if (this->cell) {
                 this->cell->see_workers(this->entries, this->now());
                 this->run_cell();
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -50,11 +50,14 @@
 
 fleet_node::fleet_node(node_parts with, node_identity who, std::uint64_t seed)
     : parts(with), identity(std::move(who)),
-      owner_host({with.context, with.clock, with.log, with.store, with.workers, with.machines,
+      workers(with.context, with.clock, with.log, with.network, with.workers),
+      owner_host({with.context, with.clock, with.log, with.store, this->workers, with.machines,
                   with.registry, with.cell, with.state_time,
-                  [this](const process_name& process) {
-                      return this->has_ended(process);
-                  }},
+                  [this](const process_name& process) { return this->has_ended(process); },
+                  [this](const std::vector<scheduling::worker_entry>& known) {
+                      this->workers.see_workers(known);
+                  },
+                  with.claim},
                  {this->identity.name, this->identity.incarnation},
                  this->identity.peers_at.to_string(), seed),
       callers_desk(with.store, *this, with.log)
@@ -82,6 +85,13 @@
 {
     this->incarnations[peer.name] = peer.incarnation;
     this->parts.peers.connected(peer.name);
+    this->workers.connected(peer);
+}
+
+void fleet_node::peer_lost(const membership::member& peer)
+{
+    this->parts.peers.lost(peer.name);
+    this->workers.lost(peer.name);
 }
 
 bool fleet_node::has_ended(const process_name& process) const
@@ -162,7 +172,7 @@
     return this->owner_host;
 }
 
-void fleet_node::take_message(const membership::member&, const membership::message& value,
+void fleet_node::take_message(const membership::member& peer, const membership::message& value,
                               const membership::answer_sender& answer)
 {
     if (const auto* reply = std::get_if<membership::relay_answer>(&value)) {
@@ -173,6 +183,9 @@
     if (call == nullptr) {
         return; // heartbeats and settings belong to the other daemon
     }
+    if (this->take_order_message(peer, *call)) {
+        return;
+    }
     if (call->target.starts_with(store_path::relay_prefix)) {
         this->parts.path.serve(*call, answer);
         return;
@@ -180,6 +193,20 @@
     answer(this->answer_peer(*call));
 }
 
+bool fleet_node::take_order_message(const membership::member& peer,
+                                    const membership::relay_call& call)
+{
+    if (call.target == relayed_workers::orders_target) {
+        this->workers.serve(peer.name, call.body);
+        return true;
+    }
+    if (call.target == relayed_workers::results_target) {
+        this->workers.take_results(peer.name, call.body);
+        return true;
+    }
+    return false;
+}
+
 membership::relay_answer fleet_node::answer_peer(const membership::relay_call& call)
 {
     membership::relay_answer reply;
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -3,6 +3,7 @@
 #include "daemon/cell_host.h"
 #include "daemon/fleet_metrics.h"
 #include "daemon/job_desk.h"
+#include "daemon/relayed_workers.h"
 #include "daemon/store_path.h"
 
 namespace chervilslip::daemon {
@@ -32,6 +33,7 @@
     registry_port& registry;
     fleet_metrics& metrics;
     scheduling::cell_options cell;
+    ownership::claim_options claim;
     common::milliseconds state_time; ///< how long a closed job's state is kept
 };
 
@@ -69,8 +71,9 @@
     [[nodiscard]] job_desk& desk();
     [[nodiscard]] cell_host& host();
 
-    /// Notes that a peer can be called.
+    /// Notes that a peer can be called, or that its connection ended.
     void peer_connected(const membership::member& peer);
+    void peer_lost(const membership::member& peer);
 
     /// Handles a message of a peer.
     void take_message(const membership::member& peer, const membership::message& value,
@@ -84,12 +87,14 @@
 
 private:
     [[nodiscard]] bool has_ended(const process_name& process) const;
+    bool take_order_message(const membership::member& peer, const membership::relay_call& call);
     membership::relay_answer answer_peer(const membership::relay_call& call);
     void call_owner(membership::relay_call call, peer_answer_handler done);
 
     node_parts parts;
     node_identity identity;
     std::map<std::string, std::int64_t> incarnations; ///< of the latest connection, by node
+    relayed_workers workers;
     cell_host owner_host;
     job_desk callers_desk;
     std::shared_ptr<const fleet_configuration> in_force;
--- a/src/ownership/claim_keeper.cpp
+++ b/src/ownership/claim_keeper.cpp
@@ -27,7 +27,8 @@
     if (!this->own_token && !this->next_try) {
         const auto delay =
             this->random.below(static_cast<std::uint64_t>(this->options.most_delay_ms) + 1);
-        this->schedule_try(now, common::milliseconds(static_cast<std::int64_t>(delay)));
+        this->schedule_try(now, this->options.least_delay +
+                                    common::milliseconds(static_cast<std::int64_t>(delay)));
     }
 }
 
--- a/src/ownership/claim_keeper.h
+++ b/src/ownership/claim_keeper.h
@@ -27,6 +27,7 @@
     common::milliseconds retry_period{200};  ///< after a failed call
     common::milliseconds clock_margin{60};   ///< the lease counts as lost this much earlier
     std::int64_t most_delay_ms = 40;         ///< nodes try for a free claim spread over this time
+    common::milliseconds least_delay{0};     ///< before the first try for a free claim
 
     friend bool operator==(const claim_options&, const claim_options&) = default;
 };
--- a/src/scheduling/cell_workers.cpp
+++ b/src/scheduling/cell_workers.cpp
@@ -176,6 +176,9 @@
     at->acknowledge_durable();
     this->match_running(*at, answer, now);
     this->match_missing(*at, answer);
+    if (at->entry.draining) {
+        this->evacuate(at->entry.life.id, now);
+    }
     this->pace_fillers(*at, now);
     at->next_look =
         first || was_silent ? now : now + (at->pending.empty() ? look_gap : look_gap_unwritten);
@@ -370,7 +373,11 @@
 void cell::evacuate(const std::string& worker, common::steady_time now)
 {
     const auto found = this->workers.find(worker);
-    if (found == this->workers.end() || now < this->earlier_stops_until) {
+    if (found == this->workers.end()) {
+        return;
+    }
+    // What a worker that leaves would end anyway is not bound by budgets.
+    if (!found->second.entry.draining && now < this->earlier_stops_until) {
         return;
     }
     const std::set<jobs::task_id> runs = found->second.runs;
--- /dev/null
+++ b/src/scheduling/order_codec.cpp
@@ -0,0 +1,231 @@
+#include "scheduling/order_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace chervilslip::scheduling {
+
+namespace {
+
+using common::errc;
+using common::make_error;
+using nlohmann::json;
+
+enum class order_kind { look, start, stop, pace };
+
+jobs::task_id read_task(const json& source)
+{
+    const auto text = source.get<std::string>();
+    auto task = jobs::parse_task_id(text);
+    if (!task) {
+        throw std::invalid_argument("\"" + text + "\" names no task");
+    }
+    return std::move(*task);
+}
+
+/// Writes each payload once: the tasks of a job carry the same.
+class payload_table {
+public:
+    std::size_t index_of(const start_order& order)
+    {
+        const auto [found, is_new] = this->by_job.try_emplace(order.task.job, this->texts.size());
+        if (is_new) {
+            this->texts.push_back(order.payload);
+        }
+        return found->second;
+    }
+
+    [[nodiscard]] const json& all() const
+    {
+        return this->texts;
+    }
+
+private:
+    std::map<std::string, std::size_t> by_job;
+    json texts = json::array();
+};
+
+json head_of(std::uint64_t number, order_kind kind, const worker_life& worker,
+             const std::string& address)
+{
+    return json::array({number, static_cast<int>(kind), worker.id, worker.born_ms, address});
+}
+
+json show(std::uint64_t number, const look_order& order, payload_table&)
+{
+    json row = head_of(number, order_kind::look, order.worker, order.address);
+    row.push_back(order.acknowledged);
+    row.push_back(order.deadline_ms ? json(*order.deadline_ms) : json());
+    row.push_back(order.wait.count());
+    return row;
+}
+
+json show(std::uint64_t number, const start_order& order, payload_table& payloads)
+{
+    json row = head_of(number, order_kind::start, order.worker, order.address);
+    row.push_back(order.task.to_string());
+    row.push_back(order.run);
+    row.push_back(payloads.index_of(order));
+    row.push_back(order.deadline_ms);
+    row.push_back(order.checkpoint);
+    row.push_back(order.ticket);
+    return row;
+}
+
+json show(std::uint64_t number, const stop_order& order, payload_table&)
+{
+    json row = head_of(number, order_kind::stop, order.worker, order.address);
+    row.push_back(order.task.to_string());
+    row.push_back(order.run);
+    return row;
+}
+
+json show(std::uint64_t number, const pace_order& order, payload_table&)
+{
+    json row = head_of(number, order_kind::pace, order.worker, order.address);
+    row.push_back(order.task.to_string());
+    row.push_back(order.run);
+    row.push_back(order.percent);
+    return row;
+}
+
+numbered_order read_order(const json& row, const json& payloads)
+{
+    const auto number = row.at(0).get<std::uint64_t>();
+    const worker_life worker{row.at(2).get<std::string>(), row.at(3).get<std::int64_t>()};
+    const auto address = row.at(4).get<std::string>();
+    switch (static_cast<order_kind>(row.at(1).get<int>())) {
+    case order_kind::look: {
+        look_order order{worker, address, row.at(5).get<std::int64_t>(), {}, {}};
+        if (!row.at(6).is_null()) {
+            order.deadline_ms = row.at(6).get<std::int64_t>();
+        }
+        order.wait = common::milliseconds(row.at(7).get<std::int64_t>());
+        return {number, std::move(order)};
+    }
+    case order_kind::start:
+        return {number,
+                start_order{worker, address, read_task(row.at(5)), row.at(6).get<std::int64_t>(),
+                            payloads.at(row.at(7).get<std::size_t>()).get<std::string>(),
+                            row.at(8).get<std::int64_t>(), row.at(9).get<std::string>(),
+                            row.at(10).get<std::string>()}};
+    case order_kind::stop:
+        return {number,
+                stop_order{worker, address, read_task(row.at(5)), row.at(6).get<std::int64_t>()}};
+    case order_kind::pace:
+        return {number, pace_order{worker, address, read_task(row.at(5)),
+                                   row.at(6).get<std::int64_t>(), row.at(7).get<std::int64_t>()}};
+    }
+    throw std::invalid_argument("unknown kind of order");
+}
+
+json show(const look_report& report)
+{
+    json running = json::array();
+    for (const running_row& row : report.running) {
+        running.push_back({row.task.to_string(), row.run, row.checkpoint, row.percent, row.load});
+    }
+    json finished = json::array();
+    for (const finished_row& row : report.finished) {
+        finished.push_back({row.number, row.task.to_string(), row.run, static_cast<int>(row.cause),
+                            row.checkpoint});
+    }
+    return json::array({report.born_ms, report.clock_ms, running, finished});
+}
+
+look_report read_report(const json& source)
+{
+    look_report report;
+    report.born_ms = source.at(0).get<std::int64_t>();
+    report.clock_ms = source.at(1).get<std::int64_t>();
+    for (const json& row : source.at(2)) {
+        report.running.push_back({read_task(row.at(0)), row.at(1).get<std::int64_t>(),
+                                  row.at(2).get<std::string>(), row.at(3).get<std::int64_t>(),
+                                  row.at(4).get<std::int64_t>()});
+    }
+    for (const json& row : source.at(3)) {
+        report.finished.push_back(
+            {row.at(0).get<std::int64_t>(), read_task(row.at(1)), row.at(2).get<std::int64_t>(),
+             static_cast<end_cause>(row.at(3).get<int>()), row.at(4).get<std::string>()});
+    }
+    return report;
+}
+
+std::string pack(const json& source)
+{
+    std::string bytes;
+    json::to_msgpack(source, bytes);
+    return bytes;
+}
+
+/// Reads msgpack by `read`, which may throw what a wrong shape throws.
+template <typename T, typename Read>
+common::result<T> unpack(const std::string& bytes, const std::string& step, const std::string& peer,
+                         Read read)
+{
+    try {
+        return read(json::from_msgpack(bytes));
+    } catch (const json::exception& failure) {
+        return make_error(errc::bad_message, step, peer, failure.what());
+    } catch (const std::invalid_argument& failure) {
+        return make_error(errc::bad_message, step, peer, failure.what());
+    }
+}
+
+} // namespace
+
+std::string encode_orders(const order_batch& batch)
+{
+    payload_table payloads;
+    json rows = json::array();
+    for (const numbered_order& each : batch.orders) {
+        rows.push_back(std::visit(
+            [&](const auto& order) { return show(each.number, order, payloads); }, each.what));
+    }
+    return pack(json::array({batch.token, payloads.all(), std::move(rows)}));
+}
+
+common::result<order_batch> decode_orders(const std::string& bytes, const std::string& peer)
+{
+    return unpack<order_batch>(bytes, "read orders", peer, [](const json& source) {
+        order_batch batch;
+        batch.token = source.at(0).get<std::int64_t>();
+        for (const json& row : source.at(2)) {
+            batch.orders.push_back(read_order(row, source.at(1)));
+        }
+        return batch;
+    });
+}
+
+std::string encode_results(const std::vector<numbered_result>& results)
+{
+    json rows = json::array();
+    for (const numbered_result& each : results) {
+        json row = json::array({each.number, static_cast<int>(each.outcome), each.clock_ms});
+        if (each.report) {
+            row.push_back(show(*each.report));
+        }
+        rows.push_back(std::move(row));
+    }
+    return pack(rows);
+}
+
+common::result<std::vector<numbered_result>> decode_results(const std::string& bytes,
+                                                            const std::string& peer)
+{
+    return unpack<std::vector<numbered_result>>(
+        bytes, "read results", peer, [](const json& source) {
+            std::vector<numbered_result> results;
+            for (const json& row : source) {
+                numbered_result& one = results.emplace_back();
+                one.number = row.at(0).get<std::uint64_t>();
+                one.outcome = static_cast<verdict>(row.at(1).get<int>());
+                one.clock_ms = row.at(2).get<std::int64_t>();
+                if (row.size() > 3) {
+                    one.report = read_report(row.at(3));
+                }
+            }
+            return results;
+        });
+}
+
+} // namespace chervilslip::scheduling
--- a/src/scheduling/tests/cell_recovery_tests.cpp
+++ b/src/scheduling/tests/cell_recovery_tests.cpp
@@ -322,4 +322,24 @@
     cr_assert(cell.stops.size() == 1);
 }
 
+Test(cell_recovery, a_new_owner_moves_lasting_tasks_off_a_worker_that_drains)
+{
+    // given: an earlier owner's journal says that a lasting task runs on w1, which drains
+    jobs::job job = make_job("j1", 1);
+    job.steps[0].long_running = true;
+    job_progress progress = initial_progress(job);
+    progress.tasks[0][0][0] = {task_progress::phase::open, 1, 0, {"w1", 1}, {}};
+    worker_entry leaving = make_worker("w1");
+    leaving.draining = true;
+    fixture cell({leaving, make_worker("w2")}, {{job, progress, false}});
+
+    // when
+    cell.answer_look("w2");
+    cell.answer_look("w1", {{{"j1", 0, 0, 0}, 1, {}, 100, 0}});
+
+    // then
+    cr_assert(cell.stops.size() == 1);
+    cr_assert(cell.stops[0].worker.id == "w1");
+}
+
 } // namespace
