Place a backlog in rounds that share what they find

Ruled out: the calls to workers, which relays answered within 10 ms. Change: a round lists each pool's usable workers once and remembers sizes that found no room; rounds keep a distance of 1 ms for 20 waiting jobs, 50 ms at most.

--- a/src/scheduling/cell.cpp
+++ b/src/scheduling/cell.cpp
@@ -102,7 +102,8 @@
         this->look_if_due(worker, now);
     }
     this->drop_silent_workers(now);
-    if (now < this->authority_until && (this->dispatch_due || now >= this->next_dispatch)) {
+    const bool wanted = this->dispatch_due && now >= this->earliest_dispatch;
+    if (now < this->authority_until && (wanted || now >= this->next_dispatch)) {
         this->dispatch_due = false;
         this->dispatch(now, unix_ms);
     }
--- a/src/scheduling/cell.h
+++ b/src/scheduling/cell.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "fleet/pool_planner.h"
+#include "scheduling/dispatch_round.h"
 #include "scheduling/duration_book.h"
 #include "scheduling/pace_keeper.h"
 #include "scheduling/progress.h"
@@ -252,7 +253,9 @@
     pace_keeper pace;
     cell_counters counted;
     bool dispatch_due = true;
-    common::steady_time next_dispatch;
+    common::steady_time next_dispatch;     ///< at the latest
+    common::steady_time earliest_dispatch; ///< a round over many waiting jobs takes its time
+    std::optional<dispatch_round> round;   ///< while tasks are placed
     bool fenced = false;
     std::vector<action> actions;
 };
--- a/src/scheduling/cell_dispatch.cpp
+++ b/src/scheduling/cell_dispatch.cpp
@@ -10,6 +10,11 @@
 /// workers.
 constexpr common::milliseconds dispatch_period{100};
 
+/// Rounds follow each other no closer than one millisecond for so many waiting jobs, so that a
+/// backlog leaves an owner most of its time; a job that waits behind hundreds loses little by it.
+constexpr std::int64_t waiting_jobs_per_ms = 20;
+constexpr common::milliseconds longest_gap{50};
+
 /// A timed occurrence starts a moment after its due time, because clocks differ.
 constexpr std::int64_t due_margin_ms = 30;
 
@@ -25,6 +30,13 @@
 /// Credit ends at this multiple of a job's objective.
 constexpr double credit_end = 3.0;
 
+/// Whatever has further wishes finds no room where a plain task of its size finds none.
+bool is_plain(const placement_request& wanted)
+{
+    return wanted.required_label.empty() && wanted.only_rack.empty() && wanted.max_per_vm == 0 &&
+           !wanted.retried && wanted.tickets == nullptr;
+}
+
 } // namespace
 
 cell::rank cell::rank_of(const active_job& of, std::int64_t unix_ms) const
@@ -84,6 +96,9 @@
         return left.first != right.first ? left.first < right.first
                                          : left.second->what.id < right.second->what.id;
     });
+    const common::milliseconds gap(static_cast<std::int64_t>(order.size()) / waiting_jobs_per_ms);
+    this->earliest_dispatch = now + std::min(gap, longest_gap);
+    this->round.emplace(this->workers, now);
     for (const auto& [ignored, job] : order) {
         for (std::int64_t k = 0; k < job->what.occurrences(); ++k) {
             if (job->what.repeats > 0 && job->what.due_ms(k) + due_margin_ms > unix_ms) {
@@ -94,6 +109,7 @@
             }
         }
     }
+    this->round.reset();
 }
 
 void cell::dispatch_step(active_job& of, std::int64_t occurrence, jobs::step_index step,
@@ -158,6 +174,9 @@
     wanted.spread = step.long_running;
     wanted.retried = progress.failures > 0 && !step.long_running;
     wanted.tickets = tickets == nullptr ? nullptr : &tickets->tickets;
+    if (this->round->has_no_room(wanted.pool, wanted.size)) {
+        return nullptr;
+    }
     const jobs::task_id first{task.job, task.occurrence, task.step, 0};
     std::map<std::string, std::int64_t> on_vm;
     std::map<std::string, std::int64_t> on_rack;
@@ -175,22 +194,24 @@
     }
     worker_state* best = nullptr;
     double best_cost = 0;
-    for (auto& [id, worker] : this->workers) {
-        if (worker.entry.pool != wanted.pool || !is_usable(worker, now)) {
-            continue;
-        }
+    for (worker_state* worker : this->round->usable_in(wanted.pool)) {
+        const std::string& id = worker->entry.life.id;
         const auto taken = reserved.find(id);
-        const neighbour_count neighbours{
-            on_vm.contains(id) ? on_vm[id] : 0,
-            wanted.spread && on_rack.contains(worker.entry.rack) ? on_rack[worker.entry.rack] : 0};
+        const auto beside = on_vm.find(id);
+        const auto in_rack = wanted.spread ? on_rack.find(worker->entry.rack) : on_rack.end();
+        const neighbour_count neighbours{beside == on_vm.end() ? 0 : beside->second,
+                                         in_rack == on_rack.end() ? 0 : in_rack->second};
         const auto cost =
-            placement_cost(worker, wanted, neighbours,
+            placement_cost(*worker, wanted, neighbours,
                            taken == reserved.end() ? teams::resources{} : taken->second, now);
         if (cost && (best == nullptr || *cost < best_cost)) {
-            best = &worker;
+            best = worker;
             best_cost = *cost;
         }
     }
+    if (best == nullptr && reserved.empty() && is_plain(wanted)) {
+        this->round->note_no_room(wanted.pool, wanted.size);
+    }
     return best;
 }
 
--- /dev/null
+++ b/src/scheduling/tests/dispatch_round_tests.cpp
@@ -0,0 +1,69 @@
+#include "scheduling/tests/cell_fixture.h"
+
+#include "scheduling/dispatch_round.h"
+
+namespace {
+
+using namespace chervilslip;
+using namespace chervilslip::scheduling;
+using namespace chervilslip::scheduling::tests;
+
+Test(dispatch_round, knows_the_workers_that_take_work)
+{
+    // given
+    worker_book workers;
+    for (const std::string id : {"w1", "w2", "w3"}) {
+        workers[id].entry = make_worker(id, id == "w3" ? "other" : "main");
+        workers[id].answered = id != "w2";
+    }
+
+    // when
+    const dispatch_round round(workers, at(0));
+
+    // then
+    cr_assert(round.usable_in("main").size() == 1);
+    cr_assert(round.usable_in("main")[0]->entry.life.id == "w1");
+    cr_assert(round.usable_in("other").size() == 1);
+    cr_assert(round.usable_in("none").empty());
+}
+
+Test(dispatch_round, what_is_no_smaller_than_what_found_no_room_finds_none)
+{
+    // given
+    worker_book workers;
+    dispatch_round round(workers, at(0));
+
+    // when
+    round.note_no_room("main", {2000, 500, 0, 0});
+
+    // then
+    cr_assert(round.has_no_room("main", {2000, 500, 0, 0}));
+    cr_assert(round.has_no_room("main", {3000, 500, 1, 0}));
+    cr_assert(!round.has_no_room("main", {1999, 900, 0, 0}));
+    cr_assert(!round.has_no_room("main", {3000, 499, 0, 0}));
+    cr_assert(!round.has_no_room("other", {3000, 900, 0, 0}));
+}
+
+Test(dispatch_round, a_large_task_without_room_does_not_keep_smaller_ones_waiting)
+{
+    // given: room for one processor on each of two workers
+    fixture cell;
+    cell.greet_all();
+    jobs::job wide = make_job("j0", 2);
+    wide.steps[0].each.processors = 3000;
+    cell.take_job(wide);
+    cr_assert(cell.starts.size() == 2);
+
+    // when
+    jobs::job large = make_job("j1", 1);
+    large.steps[0].each.processors = 2000;
+    cell.take_job(large);
+    cell.take_job(make_job("j2", 3));
+
+    // then
+    cr_assert(cell.starts.size() == 4);
+    cr_assert(cell.starts[2].task.job == "j2");
+    cr_assert(cell.starts[3].task.job == "j2");
+}
+
+} // namespace
