--- a/src/cli/command_support.h
+++ b/src/cli/command_support.h
@@ -30,5 +30,6 @@
 int run_keys(TCLAP::CmdLine& line, std::vector<std::string>& arguments);
 int run_status(TCLAP::CmdLine& line, std::vector<std::string>& arguments);
 int run_audit(TCLAP::CmdLine& line, std::vector<std::string>& arguments);
+int run_explain(TCLAP::CmdLine& line, std::vector<std::string>& arguments);
 
 } // namespace chervilslip::cli
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -14,7 +14,7 @@
     int (*run)(TCLAP::CmdLine& line, std::vector<std::string>& arguments);
 };
 
-constexpr std::array<command, 8> commands{{
+constexpr std::array<command, 9> commands{{
     {"check", "Check a directory of settings without any node.", run_check},
     {"plan", "Show what applying a directory would change.", run_plan},
     {"apply", "Apply a directory of settings as one change.", run_apply},
@@ -23,6 +23,7 @@
     {"keys", "Issue, withdraw or list a team's keys.", run_keys},
     {"status", "Show every node's state.", run_status},
     {"audit", "Show who changed what, when, before and after.", run_audit},
+    {"explain", "Gather what nodes' logs tell of one request.", run_explain},
 }};
 
 int usage(std::ostream& out, int code)
