Number relayed orders so that no earlier process's results fit

Cause: orders were numbered from 1 in each process; a peer's late result for an earlier process of the same node would have answered another order. Ruled out: telling processes apart by connection, which says nothing of what the peer still has under way. Change: numbers begin at the process's start time; a result counts only from the peer that was asked.

--- a/src/daemon/relayed_workers.cpp
+++ b/src/daemon/relayed_workers.cpp
@@ -13,6 +13,10 @@
 /// Orders without an answer are looked for this often.
 constexpr common::milliseconds late_check{50};
 
+/// A process numbers its orders from its start, in milliseconds, times this: no process of the same
+/// node gives a number twice, unless it sends more than a million orders a second.
+constexpr std::uint64_t numbers_per_ms = 1000;
+
 membership::relay_call message_of(std::string_view target, std::string body)
 {
     membership::relay_call call;
@@ -28,6 +32,8 @@
                                  const common::event_log& to, membership::peer_network& between,
                                  scheduling::worker_port& itself, relay_options wanted)
     : context(io), clock(time), log(to), network(between), direct(itself), options(wanted),
+      last_number(static_cast<std::uint64_t>(common::unix_milliseconds(time.wall_now())) *
+                  numbers_per_ms),
       timer(io)
 {
 }
@@ -283,7 +289,10 @@
     }
     for (numbered_result& each : read.value()) {
         const std::uint64_t number = each.number;
-        this->finish(number, std::move(each));
+        const auto found = this->open.find(number);
+        if (found != this->open.end() && found->second.peer == peer) {
+            this->finish(number, std::move(each));
+        }
     }
 }
 
--- a/src/daemon/relayed_workers.h
+++ b/src/daemon/relayed_workers.h
@@ -105,7 +105,7 @@
     std::map<std::string, scheduling::order_batch> outgoing;
     std::map<std::string, std::vector<scheduling::numbered_result>> results;
     std::map<std::uint64_t, open_order> open; ///< by number
-    std::uint64_t last_number = 0;
+    std::uint64_t last_number;
     bool flush_due = false;
     bool watching = false;
     boost::asio::steady_timer timer;
--- /dev/null
+++ b/src/daemon/tests/relayed_workers_tests.cpp
@@ -0,0 +1,239 @@
+#include <criterion/criterion.h>
+
+#include "daemon/relayed_workers.h"
+
+namespace {
+
+using namespace chervilslip;
+using common::milliseconds;
+using scheduling::verdict;
+
+/// Answers every order at once, or never.
+class played_workers final : public scheduling::worker_port {
+public:
+    void look(const scheduling::look_order& order, std::int64_t,
+              std::function<void(verdict, scheduling::look_report)> done) override
+    {
+        ++this->orders;
+        if (this->answers) {
+            scheduling::look_report report;
+            report.clock_ms = order.acknowledged + 1;
+            done(verdict::accepted, std::move(report));
+        }
+    }
+
+    void start(const scheduling::start_order& order, std::int64_t token,
+               std::function<void(scheduling::order_answer)> done) override
+    {
+        ++this->orders;
+        this->last_token = token;
+        if (this->answers) {
+            done({order.worker, order.task, order.run, verdict::accepted, 42});
+        }
+    }
+
+    void stop(const scheduling::stop_order& order, std::int64_t,
+              std::function<void(scheduling::order_answer)> done) override
+    {
+        ++this->orders;
+        if (this->answers) {
+            done({order.worker, order.task, order.run, verdict::fenced, 0});
+        }
+    }
+
+    void pace(const scheduling::pace_order&, std::int64_t) override
+    {
+        ++this->orders;
+    }
+
+    void advise(const scheduling::advice_order&,
+                std::function<void(scheduling::advice_answer)>) override
+    {
+    }
+
+    int orders = 0;
+    std::int64_t last_token = 0;
+    bool answers = true;
+};
+
+/// A node with its own workers and a connection to its peers.
+struct node {
+    node(boost::asio::io_context& context, const std::string& name, const common::clock& clock,
+         const common::event_log& log)
+        : network(context, {name, "zone", "127.0.0.1:0", 1}, "secret", this->hooks()),
+          workers(context, clock, log, this->network, this->own, options())
+    {
+        this->at = this->network.listen().value();
+    }
+
+    static daemon::relay_options options()
+    {
+        daemon::relay_options wanted;
+        wanted.most_direct = 1;
+        wanted.start_time = milliseconds(100);
+        return wanted;
+    }
+
+    membership::network_hooks hooks()
+    {
+        membership::network_hooks told;
+        told.on_message = [this](const membership::member& peer, const membership::message& value,
+                                 const membership::answer_sender&) {
+            const auto* call = std::get_if<membership::relay_call>(&value);
+            if (call != nullptr && call->target == daemon::relayed_workers::orders_target) {
+                this->workers.serve(peer.name, call->body);
+            } else if (call != nullptr) {
+                this->workers.take_results(peer.name, call->body);
+            }
+        };
+        told.on_connected = [this](const membership::member& peer) {
+            ++this->connections;
+            this->workers.connected(peer);
+        };
+        told.on_lost = [this](const membership::member& peer) {
+            this->workers.lost(peer.name);
+        };
+        told.on_refused = [](const common::error&) {
+        };
+        return told;
+    }
+
+    played_workers own;
+    int connections = 0;
+    membership::peer_network network;
+    daemon::relayed_workers workers;
+    net::endpoint at;
+};
+
+struct pair_of_nodes {
+    boost::asio::io_context context;
+    common::real_clock clock;
+    common::event_log log{"test"};
+    node owner{this->context, "owner", this->clock, this->log};
+    node relay{this->context, "relay", this->clock, this->log};
+
+    explicit pair_of_nodes(int workers)
+    {
+        this->owner.network.connect_to(this->relay.at);
+        this->relay.network.connect_to(this->owner.at);
+        this->run_until(
+            [this] { return this->owner.connections > 0 && this->relay.connections > 0; });
+        std::vector<scheduling::worker_entry> entries(static_cast<std::size_t>(workers));
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            entries[i].life.id = "w" + std::to_string(i);
+        }
+        this->owner.workers.see_workers(entries);
+    }
+
+    void run_until(const std::function<bool()>& done)
+    {
+        const auto end = this->clock.steady_now() + std::chrono::seconds(5);
+        while (!done() && this->clock.steady_now() < end) {
+            this->context.run_one_for(milliseconds(5));
+        }
+        cr_assert(done());
+    }
+
+    /// Starts a run and returns what became of it.
+    verdict start()
+    {
+        std::optional<scheduling::order_answer> got;
+        const scheduling::start_order order{{"w0", 1}, "a", {"j", 0, 0, 0}, 1, "p", 9, "", ""};
+        this->owner.workers.start(order, 7,
+                                  [&got](const scheduling::order_answer& answer) { got = answer; });
+        this->run_until([&got] { return got.has_value(); });
+        return got->outcome;
+    }
+};
+
+Test(relayed_workers, a_small_fleet_is_called_directly)
+{
+    // given
+    pair_of_nodes nodes(1);
+
+    // when
+    const verdict outcome = nodes.start();
+
+    // then
+    cr_assert(outcome == verdict::accepted);
+    cr_assert(nodes.owner.own.orders == 1);
+    cr_assert(nodes.relay.own.orders == 0);
+}
+
+Test(relayed_workers, a_peer_carries_orders_and_results)
+{
+    // given
+    pair_of_nodes nodes(2);
+
+    // when
+    const verdict started = nodes.start();
+    std::optional<std::int64_t> clock_ms;
+    nodes.owner.workers.look({{"w0", 1}, "a", 5, {}, milliseconds(0)}, 7,
+                             [&clock_ms](verdict, const scheduling::look_report& report) {
+                                 clock_ms = report.clock_ms;
+                             });
+    nodes.run_until([&clock_ms] { return clock_ms.has_value(); });
+
+    // then
+    cr_assert(started == verdict::accepted);
+    cr_assert(nodes.relay.own.last_token == 7);
+    cr_assert(*clock_ms == 6);
+    cr_assert(nodes.owner.own.orders == 0);
+    cr_assert(nodes.relay.own.orders == 2);
+}
+
+Test(relayed_workers, a_peer_that_does_not_answer_is_passed_over)
+{
+    // given
+    pair_of_nodes nodes(2);
+    nodes.relay.own.answers = false;
+
+    // when
+    const verdict first = nodes.start();
+    const verdict second = nodes.start();
+
+    // then
+    cr_assert(first == verdict::unknown);
+    cr_assert(second == verdict::accepted);
+    cr_assert(nodes.owner.own.orders == 1);
+}
+
+Test(relayed_workers, orders_of_a_lost_peer_are_unanswered)
+{
+    // given
+    pair_of_nodes nodes(2);
+    nodes.relay.own.answers = false;
+    std::optional<verdict> outcome;
+    nodes.owner.workers.look(
+        {{"w0", 1}, "a", 5, {}, milliseconds(60'000)}, 7,
+        [&outcome](verdict got, const scheduling::look_report&) { outcome = got; });
+    nodes.run_until([&nodes] { return nodes.relay.own.orders == 1; });
+
+    // when
+    nodes.owner.workers.lost("relay");
+
+    // then
+    cr_assert(outcome == verdict::unknown);
+}
+
+Test(relayed_workers, results_of_another_peer_or_an_earlier_process_are_ignored)
+{
+    // given
+    pair_of_nodes nodes(2);
+    nodes.relay.own.answers = false;
+    std::optional<verdict> outcome;
+    nodes.owner.workers.look(
+        {{"w0", 1}, "a", 5, {}, milliseconds(60'000)}, 7,
+        [&outcome](verdict got, const scheduling::look_report&) { outcome = got; });
+
+    // when: numbers as an earlier process of the owner would have used them
+    for (std::uint64_t number = 0; number < 10; ++number) {
+        nodes.owner.workers.take_results(
+            "relay", scheduling::encode_results({{number, verdict::accepted, 0, {}}}));
+    }
+
+    // then
+    cr_assert(!outcome.has_value());
+}
+
+} // namespace
