--- a/src/daemon/cell_host.h
+++ b/src/daemon/cell_host.h
@@ -30,6 +30,7 @@
     std::function<void(const std::vector<scheduling::worker_entry>&)>
         on_workers; ///< is told of the workers of which the owner knows
     ownership::claim_options claim;
+    keeper_options keeper;
 };
 
 /// Holds the claim when it can, and then runs the fleet's decisions: reads what an earlier owner
--- a/src/daemon/cell_host_takeover.cpp
+++ b/src/daemon/cell_host_takeover.cpp
@@ -172,7 +172,7 @@
     this->cell->see_workers(this->entries, this->now());
     this->fleet = std::make_unique<fleet_keeper>(
         fleet_parts{this->parts.context, this->parts.clock, this->parts.log, this->parts.store,
-                    this->parts.machines, *this->cell, this->parts.has_ended},
+                    this->parts.machines, *this->cell, this->parts.has_ended, this->parts.keeper},
         this->self, this->token, this->claim_won_at);
     this->fleet->configure(this->configuration);
     this->fleet->see_waves(this->waves);
--- a/src/daemon/fleet_keeper.cpp
+++ b/src/daemon/fleet_keeper.cpp
@@ -14,9 +14,6 @@
 constexpr std::string_view open_state = "open";
 constexpr std::string_view closed_state = "closed";
 
-/// Holders that take turns leave at least the platform's lease time between their orders.
-constexpr common::milliseconds holder_gap{3300};
-
 /// The list of VMs is read this often while a wave runs, and otherwise.
 constexpr common::milliseconds list_period{500};
 
@@ -31,7 +28,8 @@
 fleet_keeper::fleet_keeper(fleet_parts with, process_name own_name, std::int64_t token,
                            common::steady_time claimed_at)
     : parts(std::move(with)), self(std::move(own_name)), fence{this->self.node, token},
-      won_at(claimed_at), planner(maintenance::wave_options{}), pools(fleet::pool_options{})
+      won_at(claimed_at), planner(maintenance::wave_options{this->parts.options.service_time}),
+      pools(fleet::pool_options{})
 {
     this->read_earlier({});
     this->read_last_holder();
@@ -74,7 +72,7 @@
         const bool readable = mark.is_array() && mark.size() == 3 && mark[0].is_string() &&
                               mark[1].is_number() && mark[2].is_string();
         if (!readable || mark[2] != closed_state) {
-            from += holder_gap;
+            from += this->parts.options.holder_gap;
         }
         if (readable && mark[2] != closed_state) {
             this->holder_before =
--- a/src/daemon/fleet_keeper.h
+++ b/src/daemon/fleet_keeper.h
@@ -23,6 +23,14 @@
     friend bool operator==(const process_name&, const process_name&) = default;
 };
 
+/// Times of the platform that the keeper follows.
+struct keeper_options {
+    common::milliseconds service_time{2000}; ///< how long an upkeep takes
+    common::milliseconds holder_gap{3300};   ///< between the orders of holders that take turns
+
+    friend bool operator==(const keeper_options&, const keeper_options&) = default;
+};
+
 /// What the keeper needs of the host; all outlive the keeper.
 struct fleet_parts {
     boost::asio::io_context& context;
@@ -33,6 +41,7 @@
     scheduling::cell& cell;
     std::function<bool(const process_name&)>
         has_ended; ///< whether a process is known to have ended
+    keeper_options options;
 };
 
 /// Orders VMs into upkeep and between pools while its node owns the fleet. Lives as long as one
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -57,7 +57,7 @@
                   [this](const std::vector<scheduling::worker_entry>& known) {
                       this->workers.see_workers(known);
                   },
-                  with.claim},
+                  with.claim, with.keeper},
                  {this->identity.name, this->identity.incarnation},
                  this->identity.peers_at.to_string(), seed),
       callers_desk(with.store, *this, with.log)
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -34,6 +34,7 @@
     fleet_metrics& metrics;
     scheduling::cell_options cell;
     ownership::claim_options claim;
+    keeper_options keeper;
     common::milliseconds state_time; ///< how long a closed job's state is kept
 };
 
