Keep one copy of the status codes and of the demos' checks

Ruled out: nothing. Change: net/http_status.h; scripts/checks.py, and the fleet's demo and soak use the call of scripts/system.py. Conclusion: no behaviour changes.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -5,25 +5,14 @@
 import tempfile
 import time
 
+from checks import Checks
 from system import System, call, example_nodes
 
 SETTINGS_DIRECTORY = "examples/ffvb"
 WITHDRAWAL_SECONDS = 5
 
 
-class Demo:
-    def __init__(self, system):
-        self.system = system
-        self.passed = 0
-        self.failed = 0
-
-    def check(self, what, holds, seen):
-        if holds:
-            self.passed += 1
-        else:
-            self.failed += 1
-        print(f"{'pass' if holds else 'FAIL'}: {what}: {seen}")
-
+class Demo(Checks):
     def request(self, node, queue, key=None, **body):
         headers = {"Authorization": f"Bearer {key}"} if key else {}
         body.setdefault("body", {"run_ms": 50})
@@ -129,8 +118,7 @@
         demo.check("the demo runs to its end", False, repr(failure))
     finally:
         system.kill()
-    print(f"demo: {demo.passed} passed, {demo.failed} failed")
-    return 1 if demo.failed else 0
+    return demo.sum_up("demo")
 
 
 if __name__ == "__main__":
--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -1,4 +1,5 @@
 #include "cli/operator_client.h"
+#include "net/http_status.h"
 
 namespace chervilslip::cli {
 
@@ -9,9 +10,6 @@
 using nlohmann::json;
 
 constexpr common::milliseconds time_limit{15000};
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_unauthorized = 401;
-constexpr unsigned status_unavailable = 503;
 
 std::string cause_of(const net::http_response& response)
 {
@@ -54,7 +52,7 @@
         make_error(errc::connect_failed, "call node", "", "no node is named");
     for (const net::endpoint& node : this->peer.nodes) {
         last = this->call_node(node, method, target, body);
-        if (last && last.value().status != status_unavailable) {
+        if (last && last.value().status != net::status_unavailable) {
             return last;
         }
     }
@@ -77,9 +75,9 @@
         return answer.error();
     }
     const net::http_response& response = answer.value();
-    if (response.status != status_ok) {
+    if (response.status != net::status_ok) {
         const errc code =
-            response.status == status_unauthorized ? errc::refused : errc::unavailable;
+            response.status == net::status_unauthorized ? errc::refused : errc::unavailable;
         return make_error(code, "read settings", "", cause_of(response));
     }
     const auto source = settings::parse_manifest(response.body);
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include "jobs/job_codec.h"
+#include "net/http_status.h"
 
 namespace chervilslip::daemon {
 
@@ -25,11 +26,6 @@
 constexpr std::string_view state_target = "/cell/state/";
 constexpr std::string_view waiting_target = "/cell/waiting/";
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_not_owner = 421;
-
 template <typename Number>
 std::optional<Number> read_number(const std::string& text)
 {
@@ -213,13 +209,13 @@
     reply.number = call.number;
     scheduling::cell* cell = this->owner_host.deciding();
     if (cell == nullptr) {
-        reply.status = status_not_owner;
+        reply.status = net::status_misdirected;
         return reply;
     }
-    reply.status = status_ok;
+    reply.status = net::status_ok;
     if (call.target == job_target) {
         const auto job = jobs::decode_job(call.body, "peer");
-        reply.status = job ? status_ok : status_bad_request;
+        reply.status = job ? net::status_ok : net::status_bad_request;
         if (job) {
             this->owner_host.take_job(job.value());
         }
@@ -227,14 +223,14 @@
         this->owner_host.take_cancel(call.target.substr(cancel_target.size()));
     } else if (call.target.starts_with(state_target)) {
         const auto state = cell->state_of(call.target.substr(state_target.size()));
-        reply.status = state ? status_ok : status_not_found;
+        reply.status = state ? net::status_ok : net::status_not_found;
         if (state) {
             reply.body = std::to_string(static_cast<int>(*state));
         }
     } else if (call.target.starts_with(waiting_target)) {
         reply.body = std::to_string(cell->waiting_in(call.target.substr(waiting_target.size())));
     } else {
-        reply.status = status_bad_request;
+        reply.status = net::status_bad_request;
     }
     return reply;
 }
@@ -296,12 +292,12 @@
                 done(answer.error());
                 return;
             }
-            if (answer.value().status == status_not_found) {
+            if (answer.value().status == net::status_not_found) {
                 done(std::optional<jobs::job_state>{});
                 return;
             }
             const auto state = read_number<int>(answer.value().body);
-            if (answer.value().status != status_ok || !state) {
+            if (answer.value().status != net::status_ok || !state) {
                 done(make_error(errc::unavailable, "ask owner for state", "", "not the owner"));
                 return;
             }
@@ -320,7 +316,7 @@
     call.target = target_of(waiting_target, queue);
     this->call_owner(std::move(call),
                      [done = std::move(done)](common::result<membership::relay_answer> answer) {
-                         const auto waiting = answer && answer.value().status == status_ok
+                         const auto waiting = answer && answer.value().status == net::status_ok
                                                   ? read_number<std::int64_t>(answer.value().body)
                                                   : std::nullopt;
                          if (!waiting) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -3,6 +3,7 @@
 #include <boost/outcome/try.hpp>
 
 #include "fleet/vm_list.h"
+#include "net/http_status.h"
 
 namespace chervilslip::daemon {
 
@@ -15,7 +16,6 @@
 constexpr common::milliseconds drain_check_time{20};
 constexpr common::milliseconds last_answers_time{300};
 constexpr common::milliseconds vm_list_time_limit{2000};
-constexpr unsigned status_not_modified = 304;
 constexpr std::size_t max_vm_list_bytes = std::size_t{8} * 1024 * 1024;
 
 requests::engine_options options_of(const node_settings& settings)
@@ -286,7 +286,7 @@
 
 void node::take_vm_list(const common::result<net::http_response>& answer)
 {
-    if (answer && answer.value().status == status_not_modified) {
+    if (answer && answer.value().status == net::status_not_modified) {
         return;
     }
     auto vms = answer
--- a/src/daemon/store_path.cpp
+++ b/src/daemon/store_path.cpp
@@ -1,4 +1,5 @@
 #include "daemon/store_path.h"
+#include "net/http_status.h"
 
 #include <charconv>
 
@@ -33,13 +34,11 @@
 constexpr std::string_view direct_way; ///< no peer has an empty name
 
 constexpr unsigned status_no_answer = 0; ///< the peer's own call may have been carried out
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_too_many = 429;
-constexpr unsigned status_unavailable = 503;
 
 bool turned_away(const net::http_response& answer)
 {
-    return answer.status == status_too_many || answer.status == status_unavailable;
+    return answer.status == net::status_too_many_requests ||
+           answer.status == net::status_unavailable;
 }
 
 /// The target of a relayed call: how long the store may wait, then the store's own target.
@@ -219,8 +218,8 @@
                            common::result<membership::relay_answer> answer)
 {
     const bool answered = answer.has_value() && answer.value().status != status_no_answer;
-    if (answered && answer.value().status != status_too_many &&
-        answer.value().status != status_unavailable) {
+    if (answered && answer.value().status != net::status_too_many_requests &&
+        answer.value().status != net::status_unavailable) {
         this->serving_peer = peer;
         net::http_response response;
         response.status = answer.value().status;
@@ -249,7 +248,7 @@
         std::from_chars(begin, begin + end_of_wait, wait_ms);
     }
     if (wait_ms < 0) {
-        answer(membership::relay_answer{call.number, status_bad_request, {}});
+        answer(membership::relay_answer{call.number, net::status_bad_request, {}});
         return;
     }
     net::http_request request;
@@ -266,7 +265,7 @@
                               reply.status = got.value().status;
                               reply.body = std::move(got.value().body);
                           } else if (got.error().code == common::errc::connect_failed) {
-                              reply.status = status_unavailable;
+                              reply.status = net::status_unavailable;
                           }
                           answer(reply);
                       });
--- a/src/daemon/worker_client.cpp
+++ b/src/daemon/worker_client.cpp
@@ -1,4 +1,5 @@
 #include "daemon/worker_client.h"
+#include "net/http_status.h"
 
 namespace chervilslip::daemon {
 
@@ -12,8 +13,6 @@
 constexpr common::milliseconds idle_usage_hold{60000};
 constexpr std::size_t idle_connections_per_worker = 4;
 constexpr std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_unavailable = 503;
 
 /// Tells what an answer, or its loss, says of an attempt.
 requests::worker_replied understand(const requests::attempt_id& attempt, bool is_query,
@@ -27,11 +26,11 @@
             answer.error().may_have_reached_peer() ? reply_kind::lost : reply_kind::not_sent;
         return reply;
     }
-    if (answer.value().status == status_unavailable && !is_query) {
+    if (answer.value().status == net::status_unavailable && !is_query) {
         reply.kind = reply_kind::full;
         return reply;
     }
-    if (answer.value().status != status_ok) {
+    if (answer.value().status != net::status_ok) {
         return reply;
     }
     const auto parsed = workers::parse_task_reply(answer.value().body, attempt);
@@ -208,7 +207,7 @@
 {
     usage_state& state = this->usage_of[vm];
     state.asking = false;
-    if (!answer || answer.value().status != status_ok) {
+    if (!answer || answer.value().status != net::status_ok) {
         state.seen_version = 0;
         return;
     }
