--- a/src/requests/engine.h
+++ b/src/requests/engine.h
@@ -234,7 +234,8 @@
     std::map<std::string, std::map<std::string, inherited_task>> inherited;      ///< by VM, task
     std::set<std::string> live_nodes;
     std::set<std::string> unheard_vms; ///< listed, but without a report since this engine was made
-    std::unordered_map<std::string, common::steady_time> heard_vms; ///< with the time of the last report
+    std::unordered_map<std::string, common::steady_time>
+        heard_vms; ///< with the time of the last report
     std::optional<common::steady_time> made_at;
     common::steady_time next_upkeep;
     common::steady_time
