Refuse jobs at once while the store is out of reach

Ruled out: treating a reset as not done; the store may have done it. Change: store/reach_monitor tells from all calls of a node whether the store answers on no way; meanwhile what has not been sent is refused as not run, with a time to come back. What was sent stays uncertain.

--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -56,7 +56,8 @@
                   with.claim, with.keeper},
                  {this->identity.name, this->identity.incarnation},
                  this->identity.peers_at.to_string(), seed),
-      callers_desk(with.store, *this, with.log)
+      callers_desk(with.store, *this, with.log,
+                   [this] { return this->parts.path.is_out_of_reach(); })
 {
     this->owner_host.on_owner([this](const ownership::claim_record& owner) {
         const auto address = net::parse_endpoint(owner.address);
--- a/src/daemon/job_desk.cpp
+++ b/src/daemon/job_desk.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-job_desk::job_desk(store::transactional_store& keeps, owner_access& of, const common::event_log& to)
-    : store(keeps), owner(of), log(to)
+job_desk::job_desk(store::transactional_store& keeps, owner_access& of, const common::event_log& to,
+                   std::function<bool()> is_lost)
+    : store(keeps), owner(of), log(to), store_lost(std::move(is_lost))
 {
 }
 
@@ -36,9 +37,27 @@
     ++this->calls;
     std::string encoded = jobs::encode_job(wanted);
     this->queue.push_back({std::move(wanted), std::move(encoded), std::move(done), 0});
+    this->refuse_unsent();
     this->write_next();
 }
 
+void job_desk::refuse_unsent()
+{
+    if (!this->store_lost()) {
+        return;
+    }
+    std::deque<handed_in> sent;
+    for (handed_in& each : std::exchange(this->queue, {})) {
+        if (each.tries == 0) {
+            this->settle(each, desk_fate::not_run);
+        } else {
+            sent.push_back(std::move(each));
+        }
+    }
+    std::move(this->queue.begin(), this->queue.end(), std::back_inserter(sent));
+    this->queue = std::move(sent);
+}
+
 void job_desk::write_next()
 {
     if (this->writing || this->queue.empty()) {
@@ -63,6 +82,7 @@
                                     common::result<store::commit_outcome> outcome) mutable {
         this->writing = false;
         this->take_written(std::move(batch), std::move(outcome));
+        this->refuse_unsent();
         this->write_next();
     });
 }
--- a/src/daemon/job_desk.h
+++ b/src/daemon/job_desk.h
@@ -46,8 +46,11 @@
 /// thread safe: used on the io_context's thread.
 class job_desk {
 public:
-    /// Precondition: all references outlive the desk.
-    job_desk(store::transactional_store& keeps, owner_access& owner, const common::event_log& log);
+    /// `store_lost` tells whether the store is out of reach altogether: what has not been sent to
+    /// it is refused then, as it would only become uncertain. Precondition: all references outlive
+    /// the desk.
+    job_desk(store::transactional_store& keeps, owner_access& owner, const common::event_log& log,
+             std::function<bool()> store_lost);
 
     /// Makes a job durable. Precondition: it was checked.
     void accept(jobs::job wanted, std::function<void(desk_fate)> done);
@@ -72,6 +75,7 @@
         int tries = 0;
     };
 
+    void refuse_unsent();
     void write_next();
     void take_written(std::vector<handed_in> batch, common::result<store::commit_outcome> outcome);
     void settle(handed_in& each, desk_fate fate);
@@ -81,6 +85,7 @@
     store::transactional_store& store;
     owner_access& owner;
     const common::event_log& log;
+    std::function<bool()> store_lost;
     std::deque<handed_in> queue;
     bool writing = false;
     std::size_t calls = 0;
--- a/src/daemon/store_path.cpp
+++ b/src/daemon/store_path.cpp
@@ -76,6 +76,11 @@
     return this->direct_works;
 }
 
+bool store_path::is_out_of_reach() const
+{
+    return this->reach.is_out_of_reach(this->clock.steady_now());
+}
+
 void store_path::call(net::http_request request, common::milliseconds wait,
                       common::milliseconds limit, net::http_answer done)
 {
@@ -139,6 +144,7 @@
     }
     which->next_try->cancel();
     this->count(*which, way, "answered");
+    this->reach.note_answer(this->clock.steady_now());
     std::exchange(which->done, nullptr)(std::move(answer));
 }
 
@@ -195,6 +201,7 @@
 void store_path::give_up(const std::shared_ptr<pending_call>& which)
 {
     this->count(*which, "none", which->maybe_done ? "unknown" : "unavailable");
+    this->reach.note_failure(this->clock.steady_now());
     const auto code = which->maybe_done ? common::errc::connection_lost : common::errc::unavailable;
     std::exchange(which->done,
                   nullptr)(common::make_error(code, "call store", "store", which->last_cause));
--- a/src/daemon/store_path.h
+++ b/src/daemon/store_path.h
@@ -7,6 +7,7 @@
 #include "daemon/fleet_metrics.h"
 #include "daemon/peer_calls.h"
 #include "net/http_path.h"
+#include "store/reach_monitor.h"
 
 namespace chervilslip::daemon {
 
@@ -32,6 +33,9 @@
     /// Tells whether the store served this node's latest direct call.
     [[nodiscard]] bool serves_directly() const;
 
+    /// Tells whether the store answers on no way.
+    [[nodiscard]] bool is_out_of_reach() const;
+
 private:
     struct pending_call;
 
@@ -58,6 +62,7 @@
     fleet_metrics& metrics;
     const common::event_log& log;
     common::random_source random;
+    store::reach_monitor reach;
     bool direct_works = true;
     common::steady_time direct_again; ///< until then peers are asked first
     std::string serving_peer;         ///< answered a call last; empty: none
