--- a/src/soak/tests/fleet_world_tests.cpp
+++ b/src/soak/tests/fleet_world_tests.cpp
@@ -68,6 +68,11 @@
     assert_fires(fleet_fault::skip_journal, "one_run");
 }
 
+Test(fleet_world, a_start_long_after_an_owner_saw_the_task_done_is_found)
+{
+    assert_fires(fleet_fault::skip_journal, "not_long_after_seen_done");
+}
+
 Test(fleet_world, a_missing_wait_for_silent_workers_is_found)
 {
     assert_fires(fleet_fault::no_inherited_wait, "one_run");
