Decide on events without a scan of all workers; typed MessagePack

Cause: after each answer of a worker the owner walked over all 1,100 workers several times (polls, leases, pool index), and commands, results and progress records were built as JSON trees first. Change: scheduler::react makes only what events have made due, at most every 5 ms; tick alone scans. A round of dispatch looks at the pools it is asked for. msgpack-cxx writes and reads the same bytes as before. A log line's fields are built only if its budget lets it through.

--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -7,7 +7,7 @@
     clang clang-format clang-tidy
     libboost-dev libboost-system-dev nlohmann-json3-dev
     prometheus-cpp-dev libtclap-dev liblog4cplus-dev libssl-dev
-    libcriterion-dev libbenchmark-dev
+    libmsgpack-cxx-dev libcriterion-dev libbenchmark-dev
 )
 
 missing=()
--- a/src/common/event_log.cpp
+++ b/src/common/event_log.cpp
@@ -100,7 +100,9 @@
             is_writable(this->descriptor) && ::write(this->descriptor, line.data(), line.size()) ==
                                                  static_cast<ssize_t>(line.size());
         if (!written) {
-            process_budget().budget.add_dropped();
+            shared_budget& shared = process_budget();
+            const std::lock_guard lock(shared.guard);
+            shared.budget.add_dropped();
         }
     }
 
@@ -126,27 +128,35 @@
 {
 }
 
-void event_log::write(event_id id, const nlohmann::json& fields) const
+bool event_log::take_line(event_id id)
 {
-    const event_entry& entry = find_entry(id);
-    const auto now = std::chrono::steady_clock::now();
+    const auto kind = static_cast<std::size_t>(&find_entry(id) - event_catalogue.data());
     shared_budget& shared = process_budget();
     const std::lock_guard lock(shared.guard);
-    const auto kind = static_cast<std::size_t>(&entry - event_catalogue.data());
-    if (shared.budget.take(kind, now)) {
-        this->write_line(entry, fields);
-    }
-    if (now >= shared.next_report) {
-        shared.next_report = now + report_period;
-        const std::uint64_t dropped = shared.budget.take_dropped();
-        if (dropped > 0) {
-            this->write_line(find_entry(event_id::lines_dropped), {{"lines", dropped}});
+    return shared.budget.take(kind, std::chrono::steady_clock::now());
+}
+
+void event_log::report_drops() const
+{
+    shared_budget& shared = process_budget();
+    std::uint64_t dropped = 0;
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const std::lock_guard lock(shared.guard);
+        if (now < shared.next_report) {
+            return;
         }
+        shared.next_report = now + report_period;
+        dropped = shared.budget.take_dropped();
+    }
+    if (dropped > 0) {
+        this->write_line(event_id::lines_dropped, {{"lines", dropped}});
     }
 }
 
-void event_log::write_line(const event_entry& entry, const nlohmann::json& fields) const
+void event_log::write_line(event_id id, const nlohmann::json& fields) const
 {
+    const event_entry& entry = find_entry(id);
     nlohmann::json line = fields;
     line["event"] = static_cast<int>(entry.id);
     line["name"] = entry.name;
--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -145,10 +145,26 @@
 
     /// Writes one event with its fields, unless its kind has used up its lines a second, or nobody
     /// takes them; dropped lines are counted and reported. Thread safe.
-    void write(event_id id, const nlohmann::json& fields) const;
+    void write(event_id id, const nlohmann::json& fields) const
+    {
+        this->write_lazily(id, [&fields]() -> const nlohmann::json& { return fields; });
+    }
+
+    /// As `write`, but calls `make_fields` only for a line that is written. For events that are
+    /// frequent enough to exceed their budget. Thread safe if `make_fields` is.
+    template <typename MakeFields>
+    void write_lazily(event_id id, MakeFields make_fields) const
+    {
+        if (take_line(id)) {
+            this->write_line(id, make_fields());
+        }
+        this->report_drops();
+    }
 
 private:
-    void write_line(const event_entry& entry, const nlohmann::json& fields) const;
+    static bool take_line(event_id id);
+    void report_drops() const;
+    void write_line(event_id id, const nlohmann::json& fields) const;
 
     std::string node;
 };
--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -166,6 +166,12 @@
     }
 }
 
+void scheduler_host::react()
+{
+    this->scheduler->react(this->now(), this->unix_ms());
+    this->execute_actions();
+}
+
 void scheduler_host::follow_claim()
 {
     store::follower_callbacks hooks;
@@ -306,8 +312,7 @@
     if (this->scheduler) {
         this->known_input_keys.insert(store_keys::make_key(store_keys::jobs, accepted.id));
         this->scheduler->submit_job(accepted, this->now());
-        this->scheduler->tick(this->now(), this->unix_ms());
-        this->execute_actions();
+        this->react();
     }
 }
 
@@ -315,8 +320,7 @@
 {
     if (this->scheduler) {
         this->scheduler->cancel_job(id, this->now());
-        this->scheduler->tick(this->now(), this->unix_ms());
-        this->execute_actions();
+        this->react();
     }
 }
 
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -115,6 +115,7 @@
     void handle_closed_page(common::result<store::range_page> page);
     void delete_closed_jobs(std::vector<std::string> keys);
 
+    void react();
     void execute_actions();
     void execute(scheduling::action&& what);
     void write_journal(scheduling::journal_write&& order);
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -129,20 +129,19 @@
                                                           scheduling::worker_report report) {
                 this->scheduler->handle_poll_result({instance, sent_at, outcome, std::move(report)},
                                                     this->now());
-                this->scheduler->tick(this->now(), this->unix_ms());
-                this->execute_actions();
+                this->react();
             }));
     } else if (auto* start = std::get_if<scheduling::start_command>(&what)) {
         this->dependencies.workers.start(
             *start, this->token, this->bind_to_claim([this](scheduling::command_result answer) {
                 this->scheduler->handle_start_result(answer, this->now());
-                this->execute_actions();
+                this->react();
             }));
     } else if (auto* stop = std::get_if<scheduling::stop_command>(&what)) {
         this->dependencies.workers.stop(
             *stop, this->token, this->bind_to_claim([this](scheduling::command_result answer) {
                 this->scheduler->handle_stop_result(answer, this->now());
-                this->execute_actions();
+                this->react();
             }));
     } else if (auto* throttle = std::get_if<scheduling::throttle_command>(&what)) {
         this->dependencies.workers.throttle(*throttle, this->token);
@@ -150,8 +149,7 @@
         this->dependencies.workers.advise(
             *advice, this->bind_to_claim([this](scheduling::advice_response answer) {
                 this->scheduler->handle_advice(answer, this->now());
-                this->scheduler->tick(this->now(), this->unix_ms());
-                this->execute_actions();
+                this->react();
             }));
     } else if (auto* journal = std::get_if<scheduling::journal_write>(&what)) {
         this->write_journal(std::move(*journal));
@@ -162,11 +160,12 @@
 
 void scheduler_host::log_decision(const scheduling::decision_record& decision)
 {
-    this->dependencies.log.write(event_of(decision.event),
-                                 {{"subject", decision.subject},
-                                  {"detail", decision.detail},
-                                  {"token", this->token},
-                                  {"configuration", this->configuration->version}});
+    this->dependencies.log.write_lazily(event_of(decision.event), [&] {
+        return nlohmann::json{{"subject", decision.subject},
+                              {"detail", decision.detail},
+                              {"token", this->token},
+                              {"configuration", this->configuration->version}};
+    });
 }
 
 void scheduler_host::write_journal(scheduling::journal_write&& order)
--- a/src/scheduling/command_codec.cpp
+++ b/src/scheduling/command_codec.cpp
@@ -1,20 +1,23 @@
 #include "scheduling/command_codec.h"
 
-#include <nlohmann/json.hpp>
+#include "common/msgpack_row.h"
 
 namespace chervilslip::scheduling {
 
 namespace {
 
-using common::errc;
-using common::make_error;
-using nlohmann::json;
+using common::msgpack_row;
+using common::msgpack_writer;
 
 enum class command_kind { poll, start, stop, throttle };
 
-jobs::task_id read_task(const json& source)
+constexpr std::size_t fields_of_header = 5;
+constexpr std::size_t fields_of_result = 3;
+constexpr std::size_t fields_of_run = 5;
+
+jobs::task_id read_task(const msgpack::object& source)
 {
-    const auto text = source.get<std::string>();
+    const auto text = source.as<std::string>();
     auto task = jobs::parse_task_id(text);
     if (!task) {
         throw std::invalid_argument("\"" + text + "\" is not a task id");
@@ -25,207 +28,243 @@
 /// Collects the payloads of a batch. All tasks of a job share one payload, which is stored once.
 class payload_table {
 public:
-    std::size_t index_of(const start_command& command)
+    explicit payload_table(const command_batch& batch)
     {
-        const auto [found, is_new] = this->by_job.try_emplace(command.task.job, this->texts.size());
-        if (is_new) {
-            this->texts.push_back(command.payload);
+        for (const numbered_command& each : batch.commands) {
+            const auto* start = std::get_if<start_command>(&each.command);
+            if (start != nullptr &&
+                this->index_by_job.try_emplace(start->task.job, this->payloads.size()).second) {
+                this->payloads.push_back(&start->payload);
+            }
         }
-        return found->second;
     }
 
-    [[nodiscard]] const json& all() const
+    [[nodiscard]] std::size_t index_of(const start_command& command) const
+    {
+        return this->index_by_job.at(command.task.job);
+    }
+
+    void write(msgpack_writer& to) const
     {
-        return this->texts;
+        to.array(this->payloads.size());
+        for (const std::string* each : this->payloads) {
+            to.add(*each);
+        }
     }
 
 private:
-    std::map<std::string, std::size_t> by_job;
-    json texts = json::array();
+    std::map<std::string, std::size_t> index_by_job;
+    std::vector<const std::string*> payloads;
 };
 
-json command_header(std::uint64_t number, command_kind kind, const worker_instance& worker,
-                    const std::string& address)
-{
-    return json::array({number, static_cast<int>(kind), worker.id, worker.started_at_ms, address});
-}
+/// Writes commands as rows: the common header, then the fields of the kind.
+class command_writer {
+public:
+    command_writer(msgpack_writer& target, const payload_table& table)
+        : to(target), payloads(table)
+    {
+    }
 
-json to_row(std::uint64_t number, const poll_command& command, payload_table&)
-{
-    json row = command_header(number, command_kind::poll, command.worker, command.address);
-    row.push_back(command.acknowledged);
-    row.push_back(command.deadline_ms ? json(*command.deadline_ms) : json());
-    row.push_back(command.wait.count());
-    return row;
-}
+    void write(std::uint64_t number, const poll_command& command)
+    {
+        this->write_header(number, command_kind::poll, command, 3);
+        this->to.add(command.acknowledged);
+        if (command.deadline_ms) {
+            this->to.add(*command.deadline_ms);
+        } else {
+            this->to.add_nil();
+        }
+        this->to.add(static_cast<std::int64_t>(command.wait.count()));
+    }
 
-json to_row(std::uint64_t number, const start_command& command, payload_table& payloads)
-{
-    json row = command_header(number, command_kind::start, command.worker, command.address);
-    row.push_back(command.task.to_string());
-    row.push_back(command.run);
-    row.push_back(payloads.index_of(command));
-    row.push_back(command.deadline_ms);
-    row.push_back(command.checkpoint);
-    row.push_back(command.ticket);
-    return row;
-}
+    void write(std::uint64_t number, const start_command& command)
+    {
+        this->write_header(number, command_kind::start, command, 6);
+        this->write_run(command);
+        this->to.add(this->payloads.index_of(command))
+            .add(command.deadline_ms)
+            .add(command.checkpoint)
+            .add(command.ticket);
+    }
 
-json to_row(std::uint64_t number, const stop_command& command, payload_table&)
-{
-    json row = command_header(number, command_kind::stop, command.worker, command.address);
-    row.push_back(command.task.to_string());
-    row.push_back(command.run);
-    return row;
-}
+    void write(std::uint64_t number, const stop_command& command)
+    {
+        this->write_header(number, command_kind::stop, command, 2);
+        this->write_run(command);
+    }
 
-json to_row(std::uint64_t number, const throttle_command& command, payload_table&)
-{
-    json row = command_header(number, command_kind::throttle, command.worker, command.address);
-    row.push_back(command.task.to_string());
-    row.push_back(command.run);
-    row.push_back(command.percent);
-    return row;
-}
+    void write(std::uint64_t number, const throttle_command& command)
+    {
+        this->write_header(number, command_kind::throttle, command, 3);
+        this->write_run(command);
+        this->to.add(command.percent);
+    }
+
+private:
+    template <typename Command>
+    void write_header(std::uint64_t number, command_kind kind, const Command& command,
+                      std::size_t further_fields)
+    {
+        this->to.array(fields_of_header + further_fields)
+            .add(number)
+            .add(static_cast<int>(kind))
+            .add(command.worker.id)
+            .add(command.worker.started_at_ms)
+            .add(command.address);
+    }
+
+    template <typename Command>
+    void write_run(const Command& command)
+    {
+        this->to.add(command.task.to_string()).add(command.run);
+    }
+
+    msgpack_writer& to;
+    const payload_table& payloads;
+};
 
-numbered_command read_command(const json& row, const json& payloads)
+numbered_command read_command(const msgpack_row& row, const msgpack_row& payloads)
 {
-    const auto number = row.at(0).get<std::uint64_t>();
-    const worker_instance worker{row.at(2).get<std::string>(), row.at(3).get<std::int64_t>()};
-    const auto address = row.at(4).get<std::string>();
-    switch (static_cast<command_kind>(row.at(1).get<int>())) {
+    const auto number = row.get<std::uint64_t>(0);
+    const worker_instance worker{row.get<std::string>(2), row.get<std::int64_t>(3)};
+    const auto address = row.get<std::string>(4);
+    switch (static_cast<command_kind>(row.get<int>(1))) {
     case command_kind::poll: {
-        poll_command command{worker, address, row.at(5).get<std::int64_t>(), {}, {}};
-        if (!row.at(6).is_null()) {
-            command.deadline_ms = row.at(6).get<std::int64_t>();
+        poll_command command{worker, address, row.get<std::int64_t>(5), {}, {}};
+        if (!row.at(6).is_nil()) {
+            command.deadline_ms = row.get<std::int64_t>(6);
         }
-        command.wait = common::milliseconds(row.at(7).get<std::int64_t>());
+        command.wait = common::milliseconds(row.get<std::int64_t>(7));
         return {number, std::move(command)};
     }
     case command_kind::start:
-        return {number,
-                start_command{worker, address, read_task(row.at(5)), row.at(6).get<std::int64_t>(),
-                              payloads.at(row.at(7).get<std::size_t>()).get<std::string>(),
-                              row.at(8).get<std::int64_t>(), row.at(9).get<std::string>(),
-                              row.at(10).get<std::string>()}};
+        return {number, start_command{worker, address, read_task(row.at(5)),
+                                      row.get<std::int64_t>(6),
+                                      payloads.get<std::string>(row.get<std::size_t>(7)),
+                                      row.get<std::int64_t>(8), row.get<std::string>(9),
+                                      row.get<std::string>(10)}};
     case command_kind::stop:
         return {number,
-                stop_command{worker, address, read_task(row.at(5)), row.at(6).get<std::int64_t>()}};
+                stop_command{worker, address, read_task(row.at(5)), row.get<std::int64_t>(6)}};
     case command_kind::throttle:
         return {number,
-                throttle_command{worker, address, read_task(row.at(5)),
-                                 row.at(6).get<std::int64_t>(), row.at(7).get<std::int64_t>()}};
+                throttle_command{worker, address, read_task(row.at(5)), row.get<std::int64_t>(6),
+                                 row.get<std::int64_t>(7)}};
     }
     throw std::invalid_argument("unknown command kind");
 }
 
-json to_row(const worker_report& report)
+void write_report(msgpack_writer& to, const worker_report& report)
 {
-    json running = json::array();
+    to.array(4).add(report.started_at_ms).add(report.clock_ms).array(report.running.size());
     for (const reported_run& row : report.running) {
-        running.push_back({row.task.to_string(), row.run, row.checkpoint, row.percent, row.load});
+        to.array(fields_of_run)
+            .add(row.task.to_string())
+            .add(row.run)
+            .add(row.checkpoint)
+            .add(row.percent)
+            .add(row.load);
     }
-    json finished = json::array();
+    to.array(report.finished.size());
     for (const finished_run& row : report.finished) {
-        finished.push_back({row.number, row.task.to_string(), row.run, static_cast<int>(row.cause),
-                            row.checkpoint});
+        to.array(fields_of_run)
+            .add(row.number)
+            .add(row.task.to_string())
+            .add(row.run)
+            .add(static_cast<int>(row.cause))
+            .add(row.checkpoint);
     }
-    return json::array({report.started_at_ms, report.clock_ms, running, finished});
 }
 
-worker_report read_report(const json& source)
+worker_report read_report(const msgpack_row& source)
 {
     worker_report report;
-    report.started_at_ms = source.at(0).get<std::int64_t>();
-    report.clock_ms = source.at(1).get<std::int64_t>();
-    for (const json& row : source.at(2)) {
-        report.running.push_back({read_task(row.at(0)), row.at(1).get<std::int64_t>(),
-                                  row.at(2).get<std::string>(), row.at(3).get<std::int64_t>(),
-                                  row.at(4).get<std::int64_t>()});
-    }
-    for (const json& row : source.at(3)) {
-        report.finished.push_back(
-            {row.at(0).get<std::int64_t>(), read_task(row.at(1)), row.at(2).get<std::int64_t>(),
-             static_cast<end_cause>(row.at(3).get<int>()), row.at(4).get<std::string>()});
-    }
+    report.started_at_ms = source.get<std::int64_t>(0);
+    report.clock_ms = source.get<std::int64_t>(1);
+    const msgpack_row running = source.row(2);
+    report.running.reserve(running.size());
+    running.for_each([&report](const msgpack::object& each) {
+        const msgpack_row row(each);
+        report.running.push_back({read_task(row.at(0)), row.get<std::int64_t>(1),
+                                  row.get<std::string>(2), row.get<std::int64_t>(3),
+                                  row.get<std::int64_t>(4)});
+    });
+    const msgpack_row finished = source.row(3);
+    report.finished.reserve(finished.size());
+    finished.for_each([&report](const msgpack::object& each) {
+        const msgpack_row row(each);
+        report.finished.push_back({row.get<std::int64_t>(0), read_task(row.at(1)),
+                                   row.get<std::int64_t>(2),
+                                   static_cast<end_cause>(row.get<int>(3)),
+                                   row.get<std::string>(4)});
+    });
     return report;
 }
 
-std::string pack(const json& source)
-{
-    std::string bytes;
-    json::to_msgpack(source, bytes);
-    return bytes;
-}
-
-/// Decodes MessagePack and converts it with `read`. Input of an unexpected structure is an error.
-template <typename T, typename Read>
-common::result<T> unpack(const std::string& bytes, const std::string& step, const std::string& peer,
-                         Read read)
-{
-    try {
-        return read(json::from_msgpack(bytes));
-    } catch (const json::exception& failure) {
-        return make_error(errc::bad_message, step, peer, failure.what());
-    } catch (const std::invalid_argument& failure) {
-        return make_error(errc::bad_message, step, peer, failure.what());
-    }
-}
-
 } // namespace
 
 std::string encode_commands(const command_batch& batch)
 {
-    payload_table payloads;
-    json rows = json::array();
+    const payload_table payloads(batch);
+    std::string bytes;
+    msgpack_writer to(bytes);
+    to.array(3).add(batch.token);
+    payloads.write(to);
+    to.array(batch.commands.size());
+    command_writer writer(to, payloads);
     for (const numbered_command& each : batch.commands) {
-        rows.push_back(
-            std::visit([&](const auto& command) { return to_row(each.number, command, payloads); },
-                       each.command));
+        std::visit([&](const auto& command) { writer.write(each.number, command); }, each.command);
     }
-    return pack(json::array({batch.token, payloads.all(), std::move(rows)}));
+    return bytes;
 }
 
 common::result<command_batch> decode_commands(const std::string& bytes, const std::string& peer)
 {
-    return unpack<command_batch>(bytes, "decode commands", peer, [](const json& source) {
-        command_batch batch;
-        batch.token = source.at(0).get<std::int64_t>();
-        for (const json& row : source.at(2)) {
-            batch.commands.push_back(read_command(row, source.at(1)));
-        }
-        return batch;
-    });
+    return common::read_msgpack<command_batch>(
+        bytes, "decode commands", peer, [](const msgpack_row& source) {
+            command_batch batch;
+            batch.token = source.get<std::int64_t>(0);
+            const msgpack_row payloads = source.row(1);
+            source.row(2).for_each([&](const msgpack::object& each) {
+                batch.commands.push_back(read_command(msgpack_row(each), payloads));
+            });
+            return batch;
+        });
 }
 
 std::string encode_results(const std::vector<numbered_result>& results)
 {
-    json rows = json::array();
+    std::string bytes;
+    msgpack_writer to(bytes);
+    to.array(results.size());
     for (const numbered_result& each : results) {
-        json row = json::array({each.number, static_cast<int>(each.outcome), each.clock_ms});
+        to.array(fields_of_result + (each.report ? 1U : 0U))
+            .add(each.number)
+            .add(static_cast<int>(each.outcome))
+            .add(each.clock_ms);
         if (each.report) {
-            row.push_back(to_row(*each.report));
+            write_report(to, *each.report);
         }
-        rows.push_back(std::move(row));
     }
-    return pack(rows);
+    return bytes;
 }
 
 common::result<std::vector<numbered_result>> decode_results(const std::string& bytes,
                                                             const std::string& peer)
 {
-    return unpack<std::vector<numbered_result>>(
-        bytes, "decode command results", peer, [](const json& source) {
+    return common::read_msgpack<std::vector<numbered_result>>(
+        bytes, "decode command results", peer, [](const msgpack_row& source) {
             std::vector<numbered_result> results;
-            for (const json& row : source) {
+            source.for_each([&results](const msgpack::object& each) {
+                const msgpack_row row(each);
                 numbered_result& one = results.emplace_back();
-                one.number = row.at(0).get<std::uint64_t>();
-                one.outcome = static_cast<command_outcome>(row.at(1).get<int>());
-                one.clock_ms = row.at(2).get<std::int64_t>();
-                if (row.size() > 3) {
-                    one.report = read_report(row.at(3));
+                one.number = row.get<std::uint64_t>(0);
+                one.outcome = static_cast<command_outcome>(row.get<int>(1));
+                one.clock_ms = row.get<std::int64_t>(2);
+                if (row.size() > fields_of_result) {
+                    one.report = read_report(row.row(3));
                 }
-            }
+            });
             return results;
         });
 }
--- a/src/scheduling/dispatch_round.cpp
+++ b/src/scheduling/dispatch_round.cpp
@@ -6,20 +6,24 @@
 
 namespace chervilslip::scheduling {
 
-dispatch_round::dispatch_round(worker_map& workers, common::steady_time now)
+dispatch_round::dispatch_round(const pool_index& all_workers, common::steady_time now)
+    : workers(all_workers), begun_at(now)
 {
-    for (auto& [id, worker] : workers) {
-        if (is_usable(worker, now)) {
-            this->pools[worker.entry.pool].usable.push_back(&worker);
-        }
-    }
 }
 
-const std::vector<worker_state*>& dispatch_round::usable_in(const std::string& pool) const
+const std::vector<worker_state*>& dispatch_round::usable_in(const std::string& pool)
 {
-    static const std::vector<worker_state*> none;
-    const auto found = this->pools.find(pool);
-    return found == this->pools.end() ? none : found->second.usable;
+    std::optional<std::vector<worker_state*>>& usable = this->pools[pool].usable;
+    if (!usable) {
+        usable.emplace();
+        const auto found = this->workers.find(pool);
+        if (found != this->workers.end()) {
+            std::copy_if(
+                found->second.begin(), found->second.end(), std::back_inserter(*usable),
+                [this](const worker_state* each) { return is_usable(*each, this->begun_at); });
+        }
+    }
+    return *usable;
 }
 
 void dispatch_round::mark_fits_nowhere(const std::string& pool, const teams::resources& size)
--- a/src/scheduling/dispatch_round.h
+++ b/src/scheduling/dispatch_round.h
@@ -6,15 +6,19 @@
 
 namespace chervilslip::scheduling {
 
+/// All workers by pool.
+using pool_index = std::map<std::string, std::vector<worker_state*>>;
+
 /// Caches the usable workers, and the task sizes that fit on none of them, during one dispatch
 /// round. Free capacity only shrinks within a round. Not thread safe. Precondition: the workers
 /// outlive the round, and none is added or removed.
 class dispatch_round {
 public:
-    dispatch_round(worker_map& workers, common::steady_time now);
+    /// Precondition: `workers` outlives the round.
+    dispatch_round(const pool_index& workers, common::steady_time now);
 
     /// Returns the workers of a pool that may get new tasks.
-    [[nodiscard]] const std::vector<worker_state*>& usable_in(const std::string& pool) const;
+    [[nodiscard]] const std::vector<worker_state*>& usable_in(const std::string& pool);
 
     /// Records that an unconstrained task of this size fits on no worker of the pool.
     void mark_fits_nowhere(const std::string& pool, const teams::resources& size);
@@ -24,11 +28,13 @@
 
 private:
     struct pool_entry {
-        std::vector<worker_state*> usable;
+        std::optional<std::vector<worker_state*>> usable; ///< unset until asked for
         /// Minimal: no size is at least as large as another.
         std::vector<teams::resources> unplaceable_sizes;
     };
 
+    const pool_index& workers;
+    common::steady_time begun_at;
     std::map<std::string, pool_entry> pools;
 };
 
--- a/src/scheduling/progress.cpp
+++ b/src/scheduling/progress.cpp
@@ -1,69 +1,60 @@
 #include "scheduling/progress.h"
 
-#include <nlohmann/json.hpp>
+#include "common/msgpack_row.h"
 
 namespace chervilslip::scheduling {
 
 namespace {
 
-using nlohmann::json;
+using common::msgpack_row;
+using common::msgpack_writer;
 
 // A task that is untouched or done is encoded as one number, any other task as an array.
 constexpr int untouched_task = 0;
 constexpr int done_task = 1;
+constexpr std::size_t fields_of_waiting_task = 3;
+constexpr std::size_t fields_of_open_task = 5;
 
-json task_to_json(const task_progress& value)
+void write_task(msgpack_writer& to, const task_progress& value)
 {
     if (value.state == task_progress::phase::done) {
-        return done_task;
+        to.add(done_task);
+        return;
     }
     if (value.run == 0 && value.failures == 0) {
-        return untouched_task;
+        to.add(untouched_task);
+        return;
     }
-    json row = json::array({value.run, value.failures, value.checkpoint});
-    if (value.state == task_progress::phase::open) {
-        row.push_back(value.worker.id);
-        row.push_back(value.worker.started_at_ms);
+    const bool open = value.state == task_progress::phase::open;
+    to.array(open ? fields_of_open_task : fields_of_waiting_task)
+        .add(value.run)
+        .add(value.failures)
+        .add(value.checkpoint);
+    if (open) {
+        to.add(value.worker.id).add(value.worker.started_at_ms);
     }
-    return row;
 }
 
-task_progress task_from_json(const json& row)
+task_progress read_task(const msgpack::object& source)
 {
     task_progress value;
-    if (row.is_number()) {
-        const bool done = row.get<int>() == done_task;
+    if (source.type != msgpack::type::ARRAY) {
+        const bool done = source.as<int>() == done_task;
         value.state = done ? task_progress::phase::done : task_progress::phase::waiting;
         return value;
     }
-    value.run = row.at(0).get<std::int64_t>();
-    value.failures = row.at(1).get<std::int64_t>();
-    value.checkpoint = row.at(2).get<std::string>();
-    if (row.size() > 3) {
+    const msgpack_row row(source);
+    value.run = row.get<std::int64_t>(0);
+    value.failures = row.get<std::int64_t>(1);
+    value.checkpoint = row.get<std::string>(2);
+    if (row.size() > fields_of_waiting_task) {
         value.state = task_progress::phase::open;
-        value.worker.id = row.at(3).get<std::string>();
-        value.worker.started_at_ms = row.at(4).get<std::int64_t>();
+        value.worker.id = row.get<std::string>(3);
+        value.worker.started_at_ms = row.get<std::int64_t>(4);
     }
     return value;
 }
 
-json tasks_to_json(const job_progress& value)
-{
-    json occurrences = json::array();
-    for (const auto& steps : value.tasks) {
-        json step_rows = json::array();
-        for (const auto& tasks : steps) {
-            json task_rows = json::array();
-            for (const task_progress& each : tasks) {
-                task_rows.push_back(task_to_json(each));
-            }
-            step_rows.push_back(std::move(task_rows));
-        }
-        occurrences.push_back(std::move(step_rows));
-    }
-    return occurrences;
-}
-
 } // namespace
 
 job_progress initial_progress(const jobs::job& job)
@@ -79,34 +70,39 @@
 
 std::string encode_progress(const job_progress& value)
 {
-    const json row =
-        json::array({static_cast<int>(value.state), value.ended_ms, tasks_to_json(value)});
     std::string bytes;
-    json::to_msgpack(row, bytes);
+    msgpack_writer to(bytes);
+    to.array(3).add(static_cast<int>(value.state)).add(value.ended_ms).array(value.tasks.size());
+    for (const auto& steps : value.tasks) {
+        to.array(steps.size());
+        for (const auto& tasks : steps) {
+            to.array(tasks.size());
+            for (const task_progress& each : tasks) {
+                write_task(to, each);
+            }
+        }
+    }
     return bytes;
 }
 
 common::result<job_progress> decode_progress(const std::string& bytes, const std::string& peer)
 {
-    try {
-        const json row = json::from_msgpack(bytes);
-        job_progress value;
-        value.state = static_cast<jobs::job_state>(row.at(0).get<int>());
-        value.ended_ms = row.at(1).get<std::int64_t>();
-        for (const json& steps : row.at(2)) {
-            auto& occurrence = value.tasks.emplace_back();
-            for (const json& tasks : steps) {
-                auto& step = occurrence.emplace_back();
-                for (const json& each : tasks) {
-                    step.push_back(task_from_json(each));
-                }
-            }
-        }
-        return value;
-    } catch (const json::exception& failure) {
-        return common::make_error(common::errc::bad_message, "decode job progress", peer,
-                                  failure.what());
-    }
+    return common::read_msgpack<job_progress>(
+        bytes, "decode job progress", peer, [](const msgpack_row& row) {
+            job_progress value;
+            value.state = static_cast<jobs::job_state>(row.get<int>(0));
+            value.ended_ms = row.get<std::int64_t>(1);
+            row.row(2).for_each([&value](const msgpack::object& steps) {
+                auto& occurrence = value.tasks.emplace_back();
+                msgpack_row(steps).for_each([&occurrence](const msgpack::object& tasks) {
+                    auto& step = occurrence.emplace_back();
+                    msgpack_row(tasks).for_each([&step](const msgpack::object& each) {
+                        step.push_back(read_task(each));
+                    });
+                });
+            });
+            return value;
+        });
 }
 
 } // namespace chervilslip::scheduling
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -103,12 +103,25 @@
         this->poll_if_due(worker, now);
     }
     this->expire_workers(now);
-    const bool due = this->dispatch_due && now >= this->earliest_dispatch;
+    this->dispatch_if_due(now, this->earliest_dispatch);
+    this->flush_journal(now);
+}
+
+void scheduler::react(common::steady_time now, std::int64_t unix_ms)
+{
+    this->last_now = now;
+    this->last_unix_ms = unix_ms;
+    this->dispatch_if_due(now, std::max(this->earliest_dispatch, this->earliest_reaction));
+    this->flush_journal(now);
+}
+
+void scheduler::dispatch_if_due(common::steady_time now, common::steady_time earliest)
+{
+    const bool due = this->dispatch_due && now >= earliest;
     if (now < this->authority_until && (due || now >= this->next_dispatch)) {
         this->dispatch_due = false;
-        this->dispatch(now, unix_ms);
+        this->dispatch(now, this->last_unix_ms);
     }
-    this->flush_journal(now);
 }
 
 bool scheduler::is_closed(const active_job& job)
@@ -204,7 +217,7 @@
             this->send_start(task, run->second, now);
         }
     }
-    this->tick(now, this->last_unix_ms);
+    this->react(now, this->last_unix_ms);
 }
 
 std::vector<action> scheduler::take_actions()
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -75,9 +75,14 @@
     /// Handles the commit of a journal batch.
     void handle_journal_commit(std::uint64_t batch, common::steady_time now);
 
-    /// Makes all decisions that are due. `unix_ms` is the wall-clock time.
+    /// Makes all decisions that are due, polls included. Its cost grows with the number of workers,
+    /// so it is called periodically. `unix_ms` is the wall-clock time.
     void tick(common::steady_time now, std::int64_t unix_ms);
 
+    /// Makes the decisions that earlier events have made due: dispatches tasks and writes the
+    /// journal. Called after each event, at a cost that does not grow with the number of workers.
+    void react(common::steady_time now, std::int64_t unix_ms);
+
     /// Sets whether a worker is excluded from new tasks because its VM is to be moved or serviced.
     void set_cordon(const std::string& worker, bool cordoned);
 
@@ -209,7 +214,9 @@
                                             common::milliseconds time) const;
 
     // scheduler_dispatch.cpp: dispatch and placement
+    void dispatch_if_due(common::steady_time now, common::steady_time earliest);
     void dispatch(common::steady_time now, std::int64_t unix_ms);
+    void index_pools();
     void dispatch_step(active_job& job, std::int64_t occurrence, jobs::step_index step,
                        common::steady_time now);
     bool place_task(active_job& job, const jobs::task_id& task, common::steady_time now);
@@ -239,6 +246,7 @@
     scheduler_options options;
     policy current_policy;
     worker_map workers;
+    std::optional<pool_index> workers_by_pool; ///< unset after a change of the workers
     std::unordered_map<std::string, active_job> jobs_by_id;
     std::unordered_map<std::string, jobs::job_state> closed_states;
     std::set<std::string> pending_cancels; ///< of jobs that are not known yet
@@ -263,6 +271,7 @@
     bool dispatch_due = true;
     common::steady_time next_dispatch;     ///< dispatches then at the latest
     common::steady_time earliest_dispatch; ///< spaces rounds, which take long for a backlog
+    common::steady_time earliest_reaction; ///< spaces the rounds that events cause
     std::optional<dispatch_round> round;   ///< set while tasks are placed
     bool fenced = false;
     std::vector<action> actions;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -15,6 +15,9 @@
 constexpr std::int64_t waiting_jobs_per_ms = 20;
 constexpr common::milliseconds max_dispatch_gap{50};
 
+/// Minimum gap before a round that an event causes, so that a burst of ended runs needs one round.
+constexpr common::milliseconds reaction_gap{5};
+
 /// A timed occurrence starts this long after its due time, because clocks differ.
 constexpr std::int64_t due_margin_ms = 30;
 
@@ -102,7 +105,9 @@
     const common::milliseconds gap(static_cast<std::int64_t>(ranked_jobs.size()) /
                                    waiting_jobs_per_ms);
     this->earliest_dispatch = now + std::min(gap, max_dispatch_gap);
-    this->round.emplace(this->workers, now);
+    this->earliest_reaction = now + reaction_gap;
+    this->index_pools();
+    this->round.emplace(*this->workers_by_pool, now);
     for (const auto& [ignored, job] : ranked_jobs) {
         for (std::int64_t k = 0; k < job->spec.occurrences(); ++k) {
             if (job->spec.repeats > 0 && job->spec.due_ms(k) + due_margin_ms > unix_ms) {
@@ -116,6 +121,17 @@
     this->round.reset();
 }
 
+void scheduler::index_pools()
+{
+    if (this->workers_by_pool) {
+        return;
+    }
+    this->workers_by_pool.emplace();
+    for (auto& [id, worker] : this->workers) {
+        (*this->workers_by_pool)[worker.entry.pool].push_back(&worker);
+    }
+}
+
 void scheduler::dispatch_step(active_job& job, std::int64_t occurrence, jobs::step_index step,
                               common::steady_time now)
 {
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -65,6 +65,7 @@
                 this->open_runs[name] = run;
                 this->team_usage[job.spec.team] += footprint(job.spec.steps[s]);
                 worker_state& worker = this->workers[task.worker.id];
+                this->workers_by_pool.reset();
                 if (worker.entry.instance.id.empty()) {
                     worker.entry.instance = task.worker;
                     worker.listed = false;
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -73,6 +73,9 @@
 void scheduler::update_worker(const worker_entry& entry, common::steady_time now)
 {
     worker_state& known = this->workers[entry.instance.id];
+    if (known.entry.pool != entry.pool) {
+        this->workers_by_pool.reset();
+    }
     if (known.entry.instance != entry.instance) {
         if (!known.entry.instance.id.empty()) {
             if (known.entry.instance.started_at_ms > entry.instance.started_at_ms) {
@@ -366,6 +369,7 @@
             this->record(decision_record::kind::worker_lost, each->first,
                          "no longer in the registry");
             each = this->workers.erase(each);
+            this->workers_by_pool.reset();
         } else {
             ++each;
         }
--- a/src/scheduling/tests/dispatch_round_tests.cpp
+++ b/src/scheduling/tests/dispatch_round_tests.cpp
@@ -17,8 +17,10 @@
         workers[id].token_seen = id != "w2";
     }
 
+    const pool_index pools{{"main", {&workers["w1"], &workers["w2"]}}, {"other", {&workers["w3"]}}};
+
     // when
-    const dispatch_round round(workers, time_at(0));
+    dispatch_round round(pools, time_at(0));
 
     // then
     cr_assert(round.usable_in("main").size() == 1);
@@ -30,8 +32,8 @@
 Test(dispatch_round, a_size_that_fits_nowhere_excludes_all_larger_sizes)
 {
     // given
-    worker_map workers;
-    dispatch_round round(workers, time_at(0));
+    const pool_index pools;
+    dispatch_round round(pools, time_at(0));
 
     // when
     round.mark_fits_nowhere("main", {2000, 500, 0, 0});
