Fewer relays in larger batches, coalesced frames, one log line a job

Cause: with 147 nodes the owner exchanged a frame of its own with a peer for almost every answer of a worker: two reads, one write and one wake-up each. Each change of one worker's entry rebuilt maps of all workers, the planner of waves looked at all VMs without a wave, and 700 lines a second went to the log. Change: 20 workers of a zone share a relay (rendezvous hashing among the zone's relays); a relay sends the results of 8 ms together; a connection reads what is there and writes all frames of a handler at once. The worker registry is compared entry by entry. In fleets over 100 workers a sixteenth of the jobs, and all with trouble, are logged task by task; every job's end says how it went. Also: a report that names a task its job does not have threw std::out_of_range through the whole process; it is ignored now, with a test. The relay kept references into a map that a flush could clear.

--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -257,8 +257,11 @@
         return;
     }
     this->next_plan = now + plan_interval;
-    for (const maintenance::wave_step& step : this->planner.plan(this->maintenance_view(), now)) {
-        this->execute(step, now);
+    if (this->planner.has_open_wave()) {
+        for (const maintenance::wave_step& step :
+             this->planner.plan(this->maintenance_view(), now)) {
+            this->execute(step, now);
+        }
     }
     this->plan_pools(now);
 }
--- a/src/daemon/worker_relay.cpp
+++ b/src/daemon/worker_relay.cpp
@@ -37,23 +37,37 @@
       options(tuning),
       last_number(static_cast<std::uint64_t>(common::unix_milliseconds(time_source.wall_now())) *
                   numbers_per_ms),
-      timer(io)
+      timer(io), result_timer(io)
 {
 }
 
 void worker_relay::update_workers(const std::vector<scheduling::worker_entry>& entries)
 {
-    this->zone_of_worker.clear();
+    std::map<std::string, std::string> zones;
     for (const scheduling::worker_entry& each : entries) {
-        this->zone_of_worker[each.instance.id] = each.zone;
+        zones.emplace(each.instance.id, each.zone);
     }
+    if (zones == this->zone_of_worker) {
+        return;
+    }
+    this->zone_of_worker = std::move(zones);
+    this->relays_of_zone.clear();
+    std::erase_if(this->peer_of_worker, [this](const auto& each) {
+        return !this->zone_of_worker.contains(each.first);
+    });
+}
+
+void worker_relay::reset_assignment()
+{
+    this->peer_of_worker.clear();
+    this->relays_of_zone.clear();
 }
 
 void worker_relay::on_peer_connected(const membership::member& peer)
 {
     this->zone_of_peer[peer.name] = peer.zone;
     this->avoided_until.erase(peer.name);
-    this->peer_of_worker.clear();
+    this->reset_assignment();
 }
 
 void worker_relay::on_peer_lost(const std::string& peer)
@@ -61,7 +75,7 @@
     if (this->zone_of_peer.erase(peer) == 0) {
         return;
     }
-    this->peer_of_worker.clear();
+    this->reset_assignment();
     this->outgoing.erase(peer);
     this->results.erase(peer);
     std::vector<std::uint64_t> failed;
@@ -86,7 +100,10 @@
     const auto expired =
         std::erase_if(this->avoided_until, [now](const auto& each) { return each.second <= now; });
     if (expired > 0) {
-        this->peer_of_worker.clear();
+        this->reset_assignment();
+    }
+    if (this->relays_of_zone.empty()) {
+        this->choose_relays();
     }
     const auto [found, is_new] = this->peer_of_worker.try_emplace(worker);
     if (is_new) {
@@ -95,23 +112,58 @@
     return found->second;
 }
 
-std::string worker_relay::choose_peer(const std::string& worker) const
+namespace {
+
+/// Orders peers by a hash of their names and a salt (rendezvous hashing), so that the loss of one
+/// moves only what it held.
+std::size_t rendezvous_rank(const std::string& peer, const std::string& salt)
 {
-    const auto zone = this->zone_of_worker.find(worker);
-    std::string chosen;
-    std::pair<bool, std::size_t> best{false, 0};
-    for (const auto& [peer, peer_zone] : this->zone_of_peer) {
-        if (this->avoided_until.contains(peer)) {
-            continue;
+    return std::hash<std::string>{}(salt + peer);
+}
+
+} // namespace
+
+void worker_relay::choose_relays()
+{
+    std::map<std::string, std::size_t> workers_in_zone;
+    for (const auto& [worker, zone] : this->zone_of_worker) {
+        ++workers_in_zone[zone];
+    }
+    for (const auto& [zone, workers] : workers_in_zone) {
+        std::vector<std::string> candidates;
+        std::vector<std::string> in_other_zones;
+        for (const auto& [peer, peer_zone] : this->zone_of_peer) {
+            if (!this->avoided_until.contains(peer)) {
+                (peer_zone == zone ? candidates : in_other_zones).push_back(peer);
+            }
         }
-        const bool near = zone != this->zone_of_worker.end() && zone->second == peer_zone;
-        const std::pair<bool, std::size_t> rank{near, std::hash<std::string>{}(worker + peer)};
-        if (chosen.empty() || rank > best) {
-            best = rank;
-            chosen = peer;
+        if (candidates.empty()) {
+            candidates = std::move(in_other_zones);
         }
+        std::sort(candidates.begin(), candidates.end(),
+                  [&zone](const std::string& left, const std::string& right) {
+                      return rendezvous_rank(left, zone) > rendezvous_rank(right, zone);
+                  });
+        const std::size_t per_relay = this->options.workers_per_relay;
+        const std::size_t needed = (workers + per_relay - 1) / per_relay;
+        candidates.resize(std::min(candidates.size(), needed));
+        this->relays_of_zone[zone] = std::move(candidates);
+    }
+}
+
+std::string worker_relay::choose_peer(const std::string& worker) const
+{
+    const auto zone = this->zone_of_worker.find(worker);
+    const auto relays = this->relays_of_zone.find(
+        zone == this->zone_of_worker.end() ? std::string{} : zone->second);
+    if (relays == this->relays_of_zone.end() || relays->second.empty()) {
+        return {};
     }
-    return chosen;
+    return *std::max_element(relays->second.begin(), relays->second.end(),
+                             [&worker](const std::string& left, const std::string& right) {
+                                 return rendezvous_rank(left, worker) <
+                                        rendezvous_rank(right, worker);
+                             });
 }
 
 template <typename Command>
@@ -148,7 +200,7 @@
 void worker_relay::poll(const scheduling::poll_command& command, std::int64_t token,
                         std::function<void(command_outcome, scheduling::worker_report)> done)
 {
-    const std::string& peer = this->peer_for(command.worker.id);
+    const std::string peer = this->peer_for(command.worker.id);
     if (peer.empty()) {
         this->direct.poll(command, token, std::move(done));
         return;
@@ -163,7 +215,7 @@
 void worker_relay::start(const scheduling::start_command& command, std::int64_t token,
                          std::function<void(scheduling::command_result)> done)
 {
-    const std::string& peer = this->peer_for(command.worker.id);
+    const std::string peer = this->peer_for(command.worker.id);
     if (peer.empty()) {
         this->direct.start(command, token, std::move(done));
         return;
@@ -174,7 +226,7 @@
 void worker_relay::stop(const scheduling::stop_command& command, std::int64_t token,
                         std::function<void(scheduling::command_result)> done)
 {
-    const std::string& peer = this->peer_for(command.worker.id);
+    const std::string peer = this->peer_for(command.worker.id);
     if (peer.empty()) {
         this->direct.stop(command, token, std::move(done));
         return;
@@ -184,7 +236,7 @@
 
 void worker_relay::throttle(const scheduling::throttle_command& command, std::int64_t token)
 {
-    const std::string& peer = this->peer_for(command.worker.id);
+    const std::string peer = this->peer_for(command.worker.id);
     if (peer.empty()) {
         this->direct.throttle(command, token);
         return;
@@ -222,6 +274,24 @@
             this->complete(each.number, {each.number, command_outcome::not_sent, 0, {}});
         }
     }
+}
+
+void worker_relay::schedule_result_flush()
+{
+    if (std::exchange(this->result_flush_scheduled, true)) {
+        return;
+    }
+    this->result_timer.expires_after(this->options.result_delay);
+    this->result_timer.async_wait([this](const boost::system::error_code& failure) {
+        if (!failure) {
+            this->flush_results();
+        }
+    });
+}
+
+void worker_relay::flush_results()
+{
+    this->result_flush_scheduled = false;
     for (const auto& [peer, batch] : std::exchange(this->results, {})) {
         // Without a connection the owner has already completed these commands as unknown.
         this->network.send(peer, make_call(results_target, scheduling::encode_results(batch)));
@@ -279,7 +349,7 @@
 {
     const auto until = this->clock.steady_now() + this->options.avoid_interval;
     if (this->avoided_until.insert_or_assign(peer, until).second) {
-        this->peer_of_worker.clear();
+        this->reset_assignment();
         this->log.write(event_id::peer_avoided, {{"peer", peer}, {"cause", cause}});
     }
 }
@@ -348,7 +418,7 @@
 void worker_relay::queue_result(const std::string& peer, numbered_result result)
 {
     this->results[peer].push_back(std::move(result));
-    this->schedule_flush();
+    this->schedule_result_flush();
 }
 
 } // namespace chervilslip::daemon
--- a/src/daemon/worker_relay.h
+++ b/src/daemon/worker_relay.h
@@ -23,6 +23,11 @@
     common::milliseconds poll_timeout_margin{900}; ///< added to the wait of the poll itself
     common::milliseconds avoid_interval{2000}; ///< a peer that did not respond is avoided this long
 
+    /// So many workers of a zone share one relay. More of them make larger batches, which cost the
+    /// owner less; fewer make the loss of one relay matter less.
+    std::size_t workers_per_relay = 20;
+    common::milliseconds result_delay{8}; ///< results that arrive within it are sent together
+
     friend bool operator==(const relay_options&, const relay_options&) = default;
 };
 
@@ -76,6 +81,8 @@
     /// Returns the peer that relays commands to a worker; empty: this node sends them itself.
     const std::string& peer_for(const std::string& worker);
     std::string choose_peer(const std::string& worker) const;
+    void choose_relays();
+    void reset_assignment();
 
     template <typename Command>
     void send(const std::string& peer, const Command& command, std::int64_t token,
@@ -85,6 +92,8 @@
                          std::function<void(scheduling::command_result)> done);
     void schedule_flush();
     void flush();
+    void schedule_result_flush();
+    void flush_results();
     void complete(std::uint64_t number, scheduling::numbered_result result);
     void expire_commands();
     void schedule_timeout_check();
@@ -103,13 +112,17 @@
     std::map<std::string, common::steady_time> avoided_until; ///< by peer
     std::map<std::string, std::string> zone_of_worker;
     std::unordered_map<std::string, std::string> peer_of_worker; ///< cleared when peers change
+    /// The peers that relay commands to the workers of a zone; empty until they are chosen.
+    std::map<std::string, std::vector<std::string>> relays_of_zone;
     std::map<std::string, scheduling::command_batch> outgoing;
     std::map<std::string, std::vector<scheduling::numbered_result>> results;
     std::map<std::uint64_t, pending_command> pending; ///< by number
     std::uint64_t last_number;
     bool flush_scheduled = false;
+    bool result_flush_scheduled = false;
     bool timeout_check_scheduled = false;
     boost::asio::steady_timer timer;
+    boost::asio::steady_timer result_timer;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/maintenance/wave_planner.cpp
+++ b/src/maintenance/wave_planner.cpp
@@ -51,6 +51,12 @@
     this->restored[wave] = {std::move(started), completed};
 }
 
+bool wave_planner::has_open_wave() const
+{
+    return std::any_of(this->waves.begin(), this->waves.end(),
+                       [](const auto& each) { return !each.second.completed_reported; });
+}
+
 std::set<std::string> wave_planner::started_vms(std::int64_t wave) const
 {
     std::set<std::string> names;
--- a/src/maintenance/wave_planner.h
+++ b/src/maintenance/wave_planner.h
@@ -84,6 +84,9 @@
     /// Handles the response to a report; a report that was not written is repeated.
     void on_report_response(std::int64_t wave, bool completed, bool written);
 
+    /// Tells whether a wave has not been reported as completed yet.
+    [[nodiscard]] bool has_open_wave() const;
+
     /// Returns the VMs of a wave whose maintenance has started or finished.
     [[nodiscard]] std::set<std::string> started_vms(std::int64_t wave) const;
 
--- a/src/membership/peer_network.cpp
+++ b/src/membership/peer_network.cpp
@@ -1,12 +1,11 @@
 #include "membership/peer_network.h"
 
 #include <array>
-#include <deque>
 
 #include <netinet/tcp.h>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -25,6 +24,7 @@
 constexpr std::size_t max_frame_bytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t max_handshake_bytes = 4096;
 constexpr std::size_t max_queued_frames = 4096;
+constexpr std::size_t read_chunk_bytes = std::size_t{8} * 1024;
 constexpr std::size_t nonce_bytes = 16;
 constexpr common::milliseconds connect_timeout{1000};
 constexpr common::milliseconds reconnect_delay{300};
@@ -40,11 +40,12 @@
     return frame + body;
 }
 
-std::size_t decode_length(const std::array<unsigned char, length_bytes>& header)
+/// Precondition: `header` has `length_bytes` bytes.
+std::size_t decode_length(std::string_view header)
 {
     std::size_t length = 0;
-    for (const unsigned char byte : header) {
-        length = (length << 8U) | byte;
+    for (const char byte : header) {
+        length = (length << 8U) | static_cast<unsigned char>(byte);
     }
     return length;
 }
@@ -83,7 +84,7 @@
                 }
             });
         this->send(hello{message_version, this->self, this->nonce});
-        this->read_length();
+        this->read_some();
     }
 
     void send(const message& value)
@@ -91,14 +92,15 @@
         if (this->ended) {
             return;
         }
-        if (this->send_queue.size() >= max_queued_frames) {
+        if (this->queued_frames >= max_queued_frames) {
             this->end(errc::too_large, "send to peer", "send queue full; the peer does not read");
             return;
         }
-        this->send_queue.push_back(encode_frame(value));
-        this->uncollected_bytes += this->send_queue.back().size();
-        if (this->send_queue.size() == 1) {
-            this->write_next();
+        const std::string frame = encode_frame(value);
+        this->uncollected_bytes += frame.size();
+        this->send_queue += frame;
+        if (this->queued_frames++ == 0 && !this->writing) {
+            this->schedule_write();
         }
     }
 
@@ -121,36 +123,43 @@
     }
 
 private:
-    void read_length()
+    void read_some()
     {
-        asio::async_read(this->socket, asio::buffer(this->header),
-                         [self = this->shared_from_this()](const boost::system::error_code& failure,
-                                                           std::size_t) {
-                             if (self->end_on_failure(failure)) {
-                                 return;
-                             }
-                             self->read_body(decode_length(self->header));
-                         });
+        this->socket.async_read_some(
+            asio::buffer(this->chunk), [self = this->shared_from_this()](
+                                           const boost::system::error_code& failure,
+                                           std::size_t size) {
+                if (self->end_on_failure(failure)) {
+                    return;
+                }
+                self->received.append(self->chunk.data(), size);
+                self->handle_received();
+            });
     }
 
-    void read_body(std::size_t length)
+    void handle_received()
     {
-        const std::size_t max_length = this->ready ? max_frame_bytes : max_handshake_bytes;
-        if (length > max_length) {
-            this->end(errc::too_large, "read from peer",
-                      "frame of " + std::to_string(length) + " bytes exceeds the limit of " +
-                          std::to_string(max_length));
-            return;
+        std::size_t handled = 0;
+        while (!this->ended && this->received.size() - handled >= length_bytes) {
+            const std::string_view rest = std::string_view(this->received).substr(handled);
+            const std::size_t length = decode_length(rest.substr(0, length_bytes));
+            const std::size_t max_length = this->ready ? max_frame_bytes : max_handshake_bytes;
+            if (length > max_length) {
+                this->end(errc::too_large, "read from peer",
+                          "frame of " + std::to_string(length) + " bytes exceeds the limit of " +
+                              std::to_string(max_length));
+                return;
+            }
+            if (rest.size() - length_bytes < length) {
+                break;
+            }
+            handled += length_bytes + length;
+            this->handle_frame(std::string(rest.substr(length_bytes, length)));
+        }
+        this->received.erase(0, handled);
+        if (!this->ended) {
+            this->read_some();
         }
-        this->body.resize(length);
-        asio::async_read(this->socket, asio::buffer(this->body),
-                         [self = this->shared_from_this()](const boost::system::error_code& failure,
-                                                           std::size_t) {
-                             if (self->end_on_failure(failure)) {
-                                 return;
-                             }
-                             self->handle_frame();
-                         });
     }
 
     bool end_on_failure(const boost::system::error_code& failure)
@@ -161,34 +170,31 @@
         return static_cast<bool>(failure);
     }
 
-    void handle_frame()
+    void handle_frame(const std::string& body)
     {
-        const auto received = decode(this->body, this->remote.name);
-        if (!received) {
-            this->end(errc::bad_message, received.error().step, received.error().detail);
+        const auto decoded = decode(body, this->remote.name);
+        if (!decoded) {
+            this->end(errc::bad_message, decoded.error().step, decoded.error().detail);
             return;
         }
         if (this->ready) {
-            this->hooks.on_message(*this, received.value());
-        } else if (!this->handle_handshake(received.value())) {
-            return;
-        }
-        if (!this->ended) {
-            this->read_length();
+            this->hooks.on_message(*this, decoded.value());
+        } else {
+            this->handle_handshake(decoded.value());
         }
     }
 
-    bool handle_handshake(const message& value)
+    void handle_handshake(const message& value)
     {
         if (const auto* greeting = std::get_if<hello>(&value)) {
             if (greeting->version != message_version) {
                 this->end(errc::bad_message, "authenticate peer",
                           "unsupported message version " + std::to_string(greeting->version));
-                return false;
+                return;
             }
             this->remote = greeting->sender;
             this->send(proof{proof_code(this->secret, greeting->nonce, this->self)});
-            return true;
+            return;
         }
         const auto* received_proof = std::get_if<proof>(&value);
         const bool is_valid =
@@ -198,17 +204,29 @@
         if (!is_valid) {
             this->end(errc::refused, "authenticate peer",
                       "missing or wrong proof of the shared secret");
-            return false;
+            return;
         }
         this->ready = true;
         this->timer.cancel();
         this->hooks.on_ready(*this);
-        return true;
     }
 
-    void write_next()
+    /// Writes after the current handler, so that all frames it sends need one system call.
+    void schedule_write()
+    {
+        this->writing = true;
+        asio::post(this->socket.get_executor(),
+                   [self = this->shared_from_this()] { self->write_queued(); });
+    }
+
+    void write_queued()
     {
-        asio::async_write(this->socket, asio::buffer(this->send_queue.front()),
+        if (this->ended) {
+            return;
+        }
+        this->writing_bytes = std::exchange(this->send_queue, {});
+        this->queued_frames = 0;
+        asio::async_write(this->socket, asio::buffer(this->writing_bytes),
                           [self = this->shared_from_this()](
                               const boost::system::error_code& failure, std::size_t) {
                               if (failure) {
@@ -216,9 +234,9 @@
                                             failure.message());
                                   return;
                               }
-                              self->send_queue.pop_front();
-                              if (!self->send_queue.empty()) {
-                                  self->write_next();
+                              self->writing = !self->send_queue.empty();
+                              if (self->writing) {
+                                  self->write_queued();
                               }
                           });
     }
@@ -239,10 +257,13 @@
     callbacks hooks;
     std::string nonce;
     member remote;
-    std::array<unsigned char, length_bytes> header{};
-    std::string body;
-    std::deque<std::string> send_queue;
+    std::array<char, read_chunk_bytes> chunk{};
+    std::string received;      ///< not handled yet
+    std::string send_queue;    ///< frames that wait for the write under way
+    std::string writing_bytes; ///< of the write under way
+    std::size_t queued_frames = 0;
     std::uint64_t uncollected_bytes = 0;
+    bool writing = false;
     bool ready = false;
     bool ended = false;
 };
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -14,6 +14,11 @@
 /// Minimum time between journal writes, so that a burst of ended runs needs one write.
 constexpr common::milliseconds flush_interval{25};
 
+/// In a fleet of up to this many workers every task is logged. In a larger one that would take much
+/// of the owner's processor, so a share of the jobs is traced, and those with trouble.
+constexpr std::size_t max_workers_to_trace_all = 100;
+constexpr std::size_t jobs_per_traced_job = 16;
+
 /// Maximum time that a command of an earlier owner can be in flight, over a slow link to a busy
 /// worker.
 constexpr common::milliseconds max_command_delay{300};
@@ -273,6 +278,28 @@
     return this->fenced;
 }
 
+bool scheduler::is_traced(const active_job& job) const
+{
+    const job_history& history = job.history;
+    return this->workers.size() <= max_workers_to_trace_all ||
+           history.failed + history.lost + history.refused > 0 ||
+           std::hash<std::string>{}(job.spec.id) % jobs_per_traced_job == 0;
+}
+
+std::string scheduler::describe_end(const active_job& job) const
+{
+    const job_history& history = job.history;
+    const auto since_accepted = [&job](std::int64_t unix_ms) {
+        return std::to_string(unix_ms - job.spec.due_ms(0)) + " ms";
+    };
+    return std::string(jobs::to_string(job.progress.state)) + " after " +
+           since_accepted(this->last_unix_ms) + ", first start after " +
+           (history.started_ms ? since_accepted(*history.started_ms) : "none") + ", starts " +
+           std::to_string(history.starts) + ", failed " + std::to_string(history.failed) +
+           ", lost " + std::to_string(history.lost) + ", refused " +
+           std::to_string(history.refused);
+}
+
 void scheduler::record(decision_record::kind what, std::string subject, std::string detail)
 {
     this->actions.emplace_back(decision_record{what, std::move(subject), std::move(detail)});
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -152,8 +152,18 @@
         std::map<std::string, std::string> tickets;
     };
 
+    /// What happened to a job under this owner, for the log line at its end.
+    struct job_history {
+        std::int64_t starts = 0;
+        std::int64_t failed = 0;
+        std::int64_t lost = 0;
+        std::int64_t refused = 0;              ///< starts that workers rejected
+        std::optional<std::int64_t> started_ms; ///< Unix time of the first start
+    };
+
     struct active_job {
         jobs::job spec;
+        job_history history;
         job_progress progress;
         std::vector<std::vector<step_count>> counts; ///< by occurrence and step
         bool final_is_durable = false;
@@ -242,10 +252,13 @@
     std::set<std::string> collect_changes(journal_write& write);
 
     void record(decision_record::kind what, std::string subject, std::string detail);
+    [[nodiscard]] bool is_traced(const active_job& job) const;
+    [[nodiscard]] std::string describe_end(const active_job& job) const;
 
     scheduler_options options;
     policy current_policy;
     worker_map workers;
+    std::uint64_t last_listing = 0; ///< number of the latest worker registry
     std::optional<pool_index> workers_by_pool; ///< unset after a change of the workers
     std::unordered_map<std::string, active_job> jobs_by_id;
     std::unordered_map<std::string, jobs::job_state> closed_states;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -414,8 +414,12 @@
     run.phase = run_phase::sent;
     run.start_deadline_ms = command.deadline_ms;
     ++this->totals.starts;
-    this->record(decision_record::kind::task_started, task.to_string(),
-                 "run " + std::to_string(run.run) + " on " + run.worker.id);
+    ++job.history.starts;
+    job.history.started_ms = job.history.started_ms.value_or(this->last_unix_ms);
+    if (this->is_traced(job)) {
+        this->record(decision_record::kind::task_started, task.to_string(),
+                     "run " + std::to_string(run.run) + " on " + run.worker.id);
+    }
     this->actions.emplace_back(std::move(command));
 }
 
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -127,7 +127,7 @@
     }
     this->record(state == jobs::job_state::cancelled ? decision_record::kind::job_cancelled
                                                      : decision_record::kind::job_ended,
-                 job.spec.id, std::string(jobs::to_string(state)));
+                 job.spec.id, this->describe_end(job));
 }
 
 void scheduler::stop_all_runs(active_job& job, common::steady_time now)
@@ -177,10 +177,25 @@
     return longest;
 }
 
+namespace {
+
+/// Reports of workers may name any task.
+bool has_task(const jobs::job& job, const jobs::task_id& task)
+{
+    return task.occurrence >= 0 && task.occurrence < job.occurrences() &&
+           task.step < job.steps.size() && task.index >= 0 &&
+           task.index < job.steps[task.step].count;
+}
+
+} // namespace
+
 void scheduler::handle_finished_run(worker_state& worker, const finished_run& finished,
                                     common::steady_time now)
 {
     active_job* job = this->find_job(finished.task.job);
+    if (job != nullptr && !has_task(job->spec, finished.task)) {
+        job = nullptr; // a malformed report
+    }
     const auto run = this->open_runs.find(finished.task);
     const bool is_expected = job != nullptr && run != this->open_runs.end() &&
                              run->second.run == finished.run &&
@@ -289,8 +304,11 @@
 void scheduler::end_run(active_job& job, const jobs::task_id& task, end_cause cause,
                         const std::string& checkpoint, common::steady_time now)
 {
-    this->record(decision_record::kind::task_ended, task.to_string(),
-                 std::string(to_string(cause)) + " on " + this->open_runs.at(task).worker.id);
+    job.history.failed += cause == end_cause::failed ? 1 : 0;
+    if (cause != end_cause::done || this->is_traced(job)) {
+        this->record(decision_record::kind::task_ended, task.to_string(),
+                     std::string(to_string(cause)) + " on " + this->open_runs.at(task).worker.id);
+    }
     if (this->open_runs.at(task).redundant) {
         this->close_redundant_run(job, task);
         return;
@@ -396,6 +414,7 @@
                      std::string(why) + " on " + run->second.worker.id);
     }
     active_job& job = this->jobs_by_id.at(task.job);
+    job.history.lost += run->second.phase != run_phase::planned ? 1 : 0;
     if (run->second.redundant) {
         this->close_redundant_run(job, task);
         return;
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -1,6 +1,8 @@
 // Worker registry entries, polls, and results of commands.
 #include "scheduling/scheduler.h"
 
+#include <unordered_map>
+
 namespace chervilslip::scheduling {
 
 namespace {
@@ -41,27 +43,24 @@
 {
     // The entry of an ended instance may remain in the registry for seconds. A newer instance on
     // the same VM proves that the earlier one has ended.
-    std::map<std::string, worker_instance> newest;
+    std::unordered_map<std::string_view, std::int64_t> newest_start_on_vm;
     for (const worker_entry& entry : entries) {
-        worker_instance& instance = newest[entry.vm];
-        if (instance.started_at_ms <= entry.instance.started_at_ms) {
-            instance = entry.instance;
-        }
+        std::int64_t& newest = newest_start_on_vm[entry.vm];
+        newest = std::max(newest, entry.instance.started_at_ms);
     }
-    const auto is_ended = [&newest](const worker_entry& entry) {
-        const auto later = newest.find(entry.vm);
-        return !entry.vm.empty() && later != newest.end() &&
-               later->second.started_at_ms > entry.instance.started_at_ms;
+    const auto is_ended = [&newest_start_on_vm](const worker_entry& entry) {
+        const auto newest = newest_start_on_vm.find(entry.vm);
+        return !entry.vm.empty() && newest != newest_start_on_vm.end() &&
+               newest->second > entry.instance.started_at_ms;
     };
-    std::set<std::string> listed;
+    ++this->last_listing;
     for (const worker_entry& entry : entries) {
         if (!is_ended(entry)) {
-            listed.insert(entry.instance.id);
             this->update_worker(entry, now);
         }
     }
     for (auto& [id, known] : this->workers) {
-        known.listed = known.listed && listed.contains(id);
+        known.listed = known.listed && known.listing == this->last_listing;
         if (is_ended(known.entry)) {
             known.listed = false;
             this->mark_runs_lost(known, "a newer worker instance runs on its VM");
@@ -73,12 +72,17 @@
 void scheduler::update_worker(const worker_entry& entry, common::steady_time now)
 {
     worker_state& known = this->workers[entry.instance.id];
+    if (known.listed && known.entry == entry && known.listing != 0) {
+        known.listing = this->last_listing;
+        return;
+    }
     if (known.entry.pool != entry.pool) {
         this->workers_by_pool.reset();
     }
     if (known.entry.instance != entry.instance) {
         if (!known.entry.instance.id.empty()) {
             if (known.entry.instance.started_at_ms > entry.instance.started_at_ms) {
+                known.listing = this->last_listing;
                 return; // outdated entry of an earlier instance
             }
             this->mark_runs_lost(known, "the worker restarted");
@@ -92,6 +96,7 @@
     const bool began_draining = entry.draining && !known.entry.draining;
     known.entry = entry;
     known.listed = true;
+    known.listing = this->last_listing;
     if (began_draining) {
         this->evacuate(entry.instance.id, now);
     }
@@ -311,6 +316,7 @@
         return;
     }
     ++this->totals.starts_refused;
+    ++job.history.refused;
     this->fenced = this->fenced || answer.outcome == command_outcome::fenced;
     if (worker != nullptr) {
         const bool lacks_capacity = answer.outcome == command_outcome::no_capacity;
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -395,4 +395,24 @@
     cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::completed);
 }
 
+Test(scheduler, a_report_that_names_an_unknown_task_of_a_known_job_is_ignored)
+{
+    // given
+    scheduler_fixture fixture;
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1", 1));
+    const start_command start = fixture.starts.at(0);
+    fixture.answer_start(start, command_outcome::accepted);
+
+    // when
+    std::vector<finished_run> malformed;
+    malformed.push_back({1, {"j1", 0, 7, 0}, 1, end_cause::done, {}});
+    malformed.push_back({2, {"j1", 3, 0, 0}, 1, end_cause::done, {}});
+    malformed.push_back({3, {"j1", 0, 0, 99}, 1, end_cause::done, {}});
+    fixture.answer_poll(start.worker.id, {scheduler_fixture::running(start)}, malformed);
+
+    // then
+    cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::running);
+}
+
 } // namespace
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -22,6 +22,7 @@
 struct worker_state {
     worker_entry entry;
     bool listed = true;      ///< present in the registry
+    std::uint64_t listing = 0; ///< the latest listing that contained it
     bool token_seen = false; ///< has answered a poll with this owner's token
     bool cordoned = false;   ///< gets no new tasks; its VM is about to be moved or serviced
 
