--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -21,6 +21,7 @@
     listen_failed = 1006,
     lines_dropped = 1007,
     node_reloaded = 1008,
+    handler_failed = 1009,
     settings_in_force = 2001,
     settings_change_accepted = 2002,
     settings_change_refused = 2003,
@@ -76,7 +77,7 @@
     severity level;
 };
 
-inline constexpr std::array<event_entry, 54> event_catalogue{{
+inline constexpr std::array<event_entry, 55> event_catalogue{{
     {event_id::node_started, "node_started", severity::info},
     {event_id::node_ready, "node_ready", severity::info},
     {event_id::node_stopping, "node_stopping", severity::info},
@@ -85,6 +86,7 @@
     {event_id::listen_failed, "listen_failed", severity::alarm},
     {event_id::lines_dropped, "lines_dropped", severity::warning},
     {event_id::node_reloaded, "node_reloaded", severity::info},
+    {event_id::handler_failed, "handler_failed", severity::alarm},
     {event_id::settings_in_force, "settings_in_force", severity::info},
     {event_id::settings_change_accepted, "settings_change_accepted", severity::info},
     {event_id::settings_change_refused, "settings_change_refused", severity::info},
--- a/src/common/msgpack_row.h
+++ b/src/common/msgpack_row.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <stdexcept>
 #include <string>
 
 #include <msgpack.hpp>
@@ -124,8 +125,8 @@
     msgpack::object_array values;
 };
 
-/// Unpacks one message, which must be an array, and converts it with `read`. Thread safe. Errors:
-/// `bad_message` if the bytes are not MessagePack or have an unexpected structure.
+/// Unpacks one message, which must be an array, and converts it with `read`, which may throw
+/// `std::logic_error` for values that are not valid. Thread safe. Errors: `bad_message`.
 template <typename T, typename Read>
 result<T> read_msgpack(const std::string& bytes, const std::string& step, const std::string& peer,
                        Read read)
@@ -137,7 +138,7 @@
         return make_error(errc::bad_message, step, peer, failure.what());
     } catch (const msgpack::type_error&) {
         return make_error(errc::bad_message, step, peer, "unexpected structure");
-    } catch (const std::invalid_argument& failure) {
+    } catch (const std::logic_error& failure) {
         return make_error(errc::bad_message, step, peer, failure.what());
     }
 }
--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -131,13 +131,24 @@
     this->run_claim_actions();
 }
 
+void scheduler_host::abandon(const std::string& cause)
+{
+    if (!this->claim_lifetime) {
+        return;
+    }
+    this->dependencies.log.write(event_id::claim_lost, {{"token", this->token}, {"cause", cause}});
+    this->ownership_claim.step_down(this->now());
+    this->discard_scheduler();
+    this->run_claim_actions();
+}
+
 void scheduler_host::schedule_tick()
 {
     this->timer.expires_after(this->scheduler ? owner_tick_interval : idle_tick_interval);
     this->timer.async_wait([this](const boost::system::error_code& failure) {
         if (!failure && !this->stopped) {
+            this->schedule_tick(); // first, so that an error in a tick does not end the ticks
             this->tick();
-            this->schedule_tick();
         }
     });
 }
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -58,6 +58,10 @@
     /// Sets the maintenance waves that operators have requested.
     void set_waves(std::vector<maintenance::wave_request> waves);
 
+    /// Gives up the claim, if this node holds it, because its state may be inconsistent. The node
+    /// competes for the claim again.
+    void abandon(const std::string& cause);
+
     /// Sets the callback for each new holder of the claim.
     void on_owner_change(std::function<void(const ownership::claim_record&)> callback);
 
@@ -159,6 +163,7 @@
     std::unique_ptr<scheduling::scheduler> scheduler;
     std::unique_ptr<fleet_controller> controller;
     std::set<std::string> known_input_keys;
+    common::steady_time input_requested_at; ///< when the latest read of the input was sent
     std::int64_t journal_revision = 0;
     std::unique_ptr<pending_journal_write> pending_write;
     std::string purge_cursor; ///< the purge continues after this key
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -109,12 +109,7 @@
         this->execute(std::move(each));
     }
     if (this->scheduler->is_fenced()) {
-        this->dependencies.log.write(
-            event_id::claim_lost,
-            {{"token", this->token}, {"cause", "a worker has received a newer owner's token"}});
-        this->ownership_claim.step_down(this->now());
-        this->discard_scheduler();
-        this->run_claim_actions();
+        this->abandon("a worker has received a newer owner's token");
     }
 }
 
@@ -228,12 +223,7 @@
         }
     }
     if (!applied) {
-        this->dependencies.log.write(
-            event_id::claim_lost,
-            {{"token", this->token}, {"cause", "the claim or the journal head has changed"}});
-        this->ownership_claim.step_down(this->now());
-        this->discard_scheduler();
-        this->run_claim_actions();
+        this->abandon("the claim or the journal head has changed");
         return;
     }
     this->journal_revision = revision;
--- a/src/daemon/scheduler_host_takeover.cpp
+++ b/src/daemon/scheduler_host_takeover.cpp
@@ -101,6 +101,12 @@
     hooks.on_change = [this](const store::item_map& items, std::int64_t) {
         this->handle_input(items);
     };
+    hooks.on_request = [this] { this->input_requested_at = this->now(); };
+    hooks.on_contact = [this] {
+        if (this->scheduler) {
+            this->scheduler->confirm_input(this->input_requested_at);
+        }
+    };
     this->input_follower = std::make_unique<store::prefix_follower>(
         this->dependencies.context, this->dependencies.store, std::string(store_keys::input),
         store::follower_options{input_watch_time, read_retry_delay, input_pause}, std::move(hooks));
--- a/src/membership/messages.cpp
+++ b/src/membership/messages.cpp
@@ -2,116 +2,118 @@
 
 #include <array>
 
-#include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
 #include "common/crypto.h"
+#include "common/msgpack_row.h"
 
 namespace chervilslip::membership {
 
 namespace {
 
-using common::errc;
-using common::make_error;
-using nlohmann::json;
+using common::msgpack_row;
+using common::msgpack_writer;
 
-json to_json(const member& value)
+void write(msgpack_writer& to, const hello& value)
 {
-    return json::array({value.name, value.zone, value.address, value.incarnation});
+    const member& sender = value.sender;
+    to.array(4).add("hello").add(value.version);
+    to.array(4).add(sender.name).add(sender.zone).add(sender.address).add(sender.incarnation);
+    to.add(value.nonce);
 }
 
-member read_member(const json& source)
+void write(msgpack_writer& to, const proof& value)
 {
-    return {source.at(0).get<std::string>(), source.at(1).get<std::string>(),
-            source.at(2).get<std::string>(), source.at(3).get<std::int64_t>()};
+    to.array(2).add("proof").add(value.code);
 }
 
-json to_json(const hello& value)
+void write(msgpack_writer& to, const heartbeat& value)
 {
-    return {"hello", value.version, to_json(value.sender), value.nonce};
-}
-
-json to_json(const proof& value)
-{
-    return {"proof", value.code};
+    std::map<std::string, std::array<std::int64_t, 4>> running;
+    for (const auto& [team, amounts] : value.running) {
+        running[team] = {amounts.processors, amounts.memory_mb, amounts.accelerators,
+                         amounts.slots};
+    }
+    to.array(5)
+        .add("heartbeat")
+        .add(value.settings_number)
+        .add(value.settings_change)
+        .add(running)
+        .add(value.stopping);
 }
 
-json to_json(const heartbeat& value)
+void write(msgpack_writer& to, const relay_call& value)
 {
-    json running = json::object();
-    for (const auto& [team, amounts] : value.running) {
-        running[team] = json::array(
-            {amounts.processors, amounts.memory_mb, amounts.accelerators, amounts.slots});
-    }
-    return {"heartbeat", value.settings_number, value.settings_change, running, value.stopping};
+    to.array(7)
+        .add("call")
+        .add(value.number)
+        .add(value.method)
+        .add(value.target)
+        .add(value.authorization)
+        .add(value.idempotency_key)
+        .add(value.body);
 }
 
-json to_json(const relay_call& value)
+void write(msgpack_writer& to, const relay_response& value)
 {
-    return {"call",       value.number,        value.method,
-            value.target, value.authorization, value.idempotency_key,
-            value.body};
+    to.array(4).add("answer").add(value.number).add(value.status).add(value.body);
 }
 
-json to_json(const relay_response& value)
+void write(msgpack_writer& to, const settings_request& /*value*/)
 {
-    return {"answer", value.number, value.status, value.body};
+    to.array(1).add("settings_wanted");
 }
 
-json to_json(const settings_request& /*value*/)
+void write(msgpack_writer& to, const settings_response& value)
 {
-    return json::array({"settings_wanted"});
+    to.array(3).add("settings").add(value.manifest).add(value.documents);
 }
 
-json to_json(const settings_response& value)
+member read_member(const msgpack_row& source)
 {
-    return {"settings", value.manifest, value.documents};
+    return {source.get<std::string>(0), source.get<std::string>(1), source.get<std::string>(2),
+            source.get<std::int64_t>(3)};
 }
 
-heartbeat read_heartbeat(const json& source)
+heartbeat read_heartbeat(const msgpack_row& source)
 {
-    heartbeat value{source.at(1).get<std::int64_t>(),
-                    source.at(2).get<std::string>(),
-                    {},
-                    source.at(4).get<bool>()};
-    for (const auto& item : source.at(3).items()) {
-        const json& amounts = item.value();
-        value.running[item.key()] = {
-            amounts.at(0).get<std::int64_t>(), amounts.at(1).get<std::int64_t>(),
-            amounts.at(2).get<std::int64_t>(), amounts.at(3).get<std::int64_t>()};
+    heartbeat value{source.get<std::int64_t>(1), source.get<std::string>(2), {},
+                    source.get<bool>(4)};
+    const auto running = source.get<std::map<std::string, std::vector<std::int64_t>>>(3);
+    for (const auto& [team, amounts] : running) {
+        value.running[team] = {amounts.at(0), amounts.at(1), amounts.at(2), amounts.at(3)};
     }
     return value;
 }
 
-message read_message(const json& source)
+message read_message(const msgpack_row& source)
 {
-    const auto kind = source.at(0).get<std::string>();
+    const auto kind = source.get<std::string>(0);
+    if (kind == "call") {
+        return relay_call{source.get<std::uint64_t>(1), source.get<std::string>(2),
+                          source.get<std::string>(3),   source.get<std::string>(4),
+                          source.get<std::string>(5),   source.get<std::string>(6)};
+    }
+    if (kind == "answer") {
+        return relay_response{source.get<std::uint64_t>(1), source.get<unsigned>(2),
+                              source.get<std::string>(3)};
+    }
     if (kind == "hello") {
-        return hello{source.at(1).get<int>(), read_member(source.at(2)),
-                     source.at(3).get<std::string>()};
+        return hello{source.get<int>(1), read_member(source.row(2)), source.get<std::string>(3)};
     }
     if (kind == "proof") {
-        return proof{source.at(1).get<std::string>()};
+        return proof{source.get<std::string>(1)};
     }
     if (kind == "heartbeat") {
         return read_heartbeat(source);
     }
-    if (kind == "call") {
-        return relay_call{source.at(1).get<std::uint64_t>(), source.at(2).get<std::string>(),
-                          source.at(3).get<std::string>(),   source.at(4).get<std::string>(),
-                          source.at(5).get<std::string>(),   source.at(6).get<std::string>()};
-    }
-    if (kind == "answer") {
-        return relay_response{source.at(1).get<std::uint64_t>(), source.at(2).get<unsigned>(),
-                              source.at(3).get<std::string>()};
-    }
     if (kind == "settings_wanted") {
         return settings_request{};
     }
     if (kind == "settings") {
-        return settings_response{source.at(1).get<std::string>(),
-                                 source.at(2).get<std::map<std::string, std::string>>()};
+        return settings_response{source.get<std::string>(1),
+                                 source.get<std::map<std::string, std::string>>(2)};
     }
     throw std::invalid_argument("unknown message kind \"" + kind + "\"");
 }
@@ -120,21 +122,15 @@
 
 std::string encode(const message& value)
 {
-    const json source = std::visit([](const auto& content) { return to_json(content); }, value);
     std::string bytes;
-    json::to_msgpack(source, bytes);
+    msgpack_writer to(bytes);
+    std::visit([&to](const auto& content) { write(to, content); }, value);
     return bytes;
 }
 
 common::result<message> decode(const std::string& bytes, const std::string& peer)
 {
-    try {
-        return read_message(json::from_msgpack(bytes));
-    } catch (const json::exception& failure) {
-        return make_error(errc::bad_message, "read peer message", peer, failure.what());
-    } catch (const std::invalid_argument& failure) {
-        return make_error(errc::bad_message, "read peer message", peer, failure.what());
-    }
+    return common::read_msgpack<message>(bytes, "read peer message", peer, read_message);
 }
 
 std::string proof_code(const std::string& secret, const std::string& nonce, const member& prover)
--- a/src/membership/peer_network.cpp
+++ b/src/membership/peer_network.cpp
@@ -177,10 +177,15 @@
             this->end(errc::bad_message, decoded.error().step, decoded.error().detail);
             return;
         }
-        if (this->ready) {
-            this->hooks.on_message(*this, decoded.value());
-        } else {
+        if (!this->ready) {
             this->handle_handshake(decoded.value());
+            return;
+        }
+        try {
+            this->hooks.on_message(*this, decoded.value());
+        } catch (const std::exception& failure) {
+            this->end(errc::bad_message, "handle peer message", failure.what());
+            throw; // whoever runs the context decides what else the error means
         }
     }
 
--- a/src/membership/tests/messages_tests.cpp
+++ b/src/membership/tests/messages_tests.cpp
@@ -68,6 +68,9 @@
         return {[this](const member&, const message& value, const response_sender&) {
                     this->received.push_back(value);
                     this->context.stop();
+                    if (this->fails) {
+                        throw std::out_of_range("no such task");
+                    }
                 },
                 [this](const member& peer) {
                     this->connected.push_back(peer.name);
@@ -87,6 +90,7 @@
         this->second.close();
     }
 
+    bool fails = false; ///< the handler of messages throws
     boost::asio::io_context context;
     net::endpoint address; ///< of the second network
     std::vector<message> received;
@@ -109,6 +113,29 @@
     cr_assert(std::get<heartbeat>(nodes.received.front()).settings_number == 5);
 }
 
+Test(peer_network, an_error_while_a_message_is_handled_ends_its_connection_and_nothing_else)
+{
+    // given
+    node_pair nodes("first secret");
+    nodes.fails = true;
+
+    // when
+    bool thrown = false;
+    try {
+        nodes.context.run_for(std::chrono::seconds(2));
+    } catch (const std::out_of_range&) {
+        thrown = true;
+    }
+    nodes.fails = false;
+    nodes.context.restart();
+    nodes.run();
+
+    // then
+    cr_assert(thrown);
+    cr_assert(nodes.rejected.front().code == common::errc::bad_message);
+    cr_assert(nodes.received.size() > 1, "the connection was not made again");
+}
+
 Test(peer_network, node_with_another_secret_is_rejected)
 {
     // given
@@ -141,4 +168,12 @@
     nodes.second.close();
 }
 
+Test(messages, have_the_bytes_that_earlier_versions_wrote)
+{
+    // given, when, then
+    cr_assert(encode(proof{"c"}) == std::string("\x92\xa5proof\xa1") + "c");
+    cr_assert(encode(relay_response{7, 200, "b"}) ==
+              std::string("\x94\xa6") + "answer\x07\xcc\xc8\xa1" + "b");
+}
+
 } // namespace
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -61,6 +61,9 @@
     common::milliseconds poll_wait{1500};       ///< how long a poll waits for a run to end
     common::milliseconds inherited_lease{6300}; ///< leases of an earlier owner end within this time
     common::milliseconds stop_grace{900};       ///< time within which a stopped run ends
+    /// Nothing is started while the latest confirmed input, cancellations included, is older than
+    /// this; unset: not checked.
+    std::optional<common::milliseconds> max_input_age;
 
     friend bool operator==(const scheduler_options&, const scheduler_options&) = default;
 };
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -80,6 +80,7 @@
 void scheduler::restore(std::vector<stored_job> stored, common::steady_time now)
 {
     this->last_now = now;
+    this->input_confirmed_at = now;
     this->earlier_stops_until = now + this->options.stop_grace + max_command_delay;
     for (stored_job& each : stored) {
         this->add_job(std::move(each), now);
@@ -100,6 +101,17 @@
     this->authority_until = std::max(this->authority_until, until);
 }
 
+void scheduler::confirm_input(common::steady_time as_of)
+{
+    this->input_confirmed_at = std::max(this->input_confirmed_at, as_of);
+}
+
+bool scheduler::may_start(common::steady_time now) const
+{
+    const auto& limit = this->options.max_input_age;
+    return now < this->authority_until && (!limit || now < this->input_confirmed_at + *limit);
+}
+
 void scheduler::tick(common::steady_time now, std::int64_t unix_ms)
 {
     this->last_now = now;
@@ -123,7 +135,7 @@
 void scheduler::dispatch_if_due(common::steady_time now, common::steady_time earliest)
 {
     const bool due = this->dispatch_due && now >= earliest;
-    if (now < this->authority_until && (due || now >= this->next_dispatch)) {
+    if (this->may_start(now) && (due || now >= this->next_dispatch)) {
         this->dispatch_due = false;
         this->dispatch(now, this->last_unix_ms);
     }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -60,6 +60,9 @@
     /// Allows starts until this time. Leases end at most `lease_duration` after it.
     void extend_authority(common::steady_time until);
 
+    /// Records that all jobs and cancellations stored before `as_of` have been passed on.
+    void confirm_input(common::steady_time as_of);
+
     /// Adds a durable job. Has no effect if the job is known already.
     void submit_job(const jobs::job& accepted, common::steady_time now);
 
@@ -249,6 +252,7 @@
     [[nodiscard]] rank rank_of(const active_job& job, std::int64_t unix_ms) const;
     void flush_journal(common::steady_time now);
     [[nodiscard]] static bool is_closed(const active_job& job);
+    [[nodiscard]] bool may_start(common::steady_time now) const;
     std::set<std::string> collect_changes(journal_write& write);
 
     void record(decision_record::kind what, std::string subject, std::string detail);
@@ -274,6 +278,7 @@
     std::vector<planned_start> batch_starts;
     common::steady_time last_flush;
     common::steady_time authority_until;
+    common::steady_time input_confirmed_at;
     common::steady_time last_now;
     /// Stops of an earlier owner have taken effect by this time.
     common::steady_time earlier_stops_until;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -390,8 +390,8 @@
 {
     active_job& job = this->jobs_by_id.at(task.job);
     worker_state* worker = this->find_worker(run.worker);
-    if (worker == nullptr || !is_usable(*worker, now) || now >= this->authority_until) {
-        this->mark_run_lost(task, "the worker is not usable any more");
+    if (worker == nullptr || !is_usable(*worker, now) || !this->may_start(now)) {
+        this->mark_run_lost(task, "the worker or the owner may not start it any more");
         return;
     }
     start_command command;
--- a/src/scheduling/tests/scheduler_fixture.h
+++ b/src/scheduling/tests/scheduler_fixture.h
@@ -60,8 +60,9 @@
 public:
     explicit scheduler_fixture(std::vector<worker_entry> entries = {make_worker("w1"),
                                                                     make_worker("w2")},
-                               std::vector<stored_job> stored = {})
-        : under_test(scheduler_options{}), listed(std::move(entries))
+                               std::vector<stored_job> stored = {},
+                               scheduler_options options = {})
+        : under_test(options), listed(std::move(entries))
     {
         policy rules;
         rules.version = 1;
--- a/src/scheduling/tests/scheduler_tests.cpp
+++ b/src/scheduling/tests/scheduler_tests.cpp
@@ -355,4 +355,27 @@
     cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::completed);
 }
 
+Test(scheduler, starts_nothing_while_cancellations_may_be_unknown_to_it)
+{
+    // given an owner that falls behind in reading its input
+    scheduler_options options;
+    options.max_input_age = milliseconds(2000);
+    scheduler_fixture fixture({make_worker("w1")}, {}, options);
+    fixture.answer_first_polls();
+    fixture.advance(2100);
+
+    // when
+    fixture.submit_job(make_job("j1"));
+
+    // then
+    cr_assert(fixture.starts.empty());
+
+    // when it has read everything up to a moment ago
+    fixture.under_test.confirm_input(time_at(fixture.now_ms - 500));
+    fixture.advance(fixture.now_ms + 200);
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+}
+
 } // namespace
--- a/src/store/prefix_follower.cpp
+++ b/src/store/prefix_follower.cpp
@@ -25,6 +25,7 @@
     /// revision of the first page.
     void read_all()
     {
+        this->notify_request();
         this->loading_items.clear();
         this->loading_revision = 0;
         this->read_page({});
@@ -62,8 +63,8 @@
         this->items = std::move(this->loading_items);
         this->revision = this->loading_revision;
         this->notify_contact();
+        this->watch_changes(); // first, so that an error in the callback does not end the watch
         this->callbacks.on_change(this->items, this->revision);
-        this->watch_changes();
     }
 
     void watch_changes()
@@ -71,6 +72,7 @@
         if (this->stopped) {
             return;
         }
+        this->notify_request();
         this->source.watch(this->prefix, this->revision, this->options.watch_timeout,
                            [self = this->shared_from_this()](common::result<change_page> page) {
                                if (!self->stopped) {
@@ -112,8 +114,8 @@
             this->watch_changes();
             return;
         }
-        this->callbacks.on_change(this->items, this->revision);
         this->after(this->options.batch_delay, [this] { this->watch_changes(); });
+        this->callbacks.on_change(this->items, this->revision);
     }
 
     template <typename Next>
@@ -128,6 +130,13 @@
             });
     }
 
+    void notify_request()
+    {
+        if (this->callbacks.on_request) {
+            this->callbacks.on_request();
+        }
+    }
+
     void notify_contact()
     {
         if (this->callbacks.on_contact) {
--- a/src/store/prefix_follower.h
+++ b/src/store/prefix_follower.h
@@ -12,12 +12,15 @@
 /// Items under a prefix, by key.
 using item_map = std::map<std::string, item>;
 
-/// Callbacks of a prefix follower; `on_contact` and `on_error` may be empty.
+/// Callbacks of a prefix follower; all but `on_change` may be empty.
 struct follower_callbacks {
     /// Called with all items as of `revision` after each full read and after each batch of changes.
     std::function<void(const item_map& items, std::int64_t revision)> on_change;
     /// Called after each successful response; the items are current as of this time.
     std::function<void()> on_contact;
+    /// Called when a full read begins and when a watch is sent. After the next successful response
+    /// the items are at least as recent as this call.
+    std::function<void()> on_request;
     /// Called after each failed call, before it is retried.
     std::function<void(const common::error& cause)> on_error;
 };
