--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -14,8 +14,10 @@
 constexpr std::string_view open_state = "open";
 constexpr std::string_view closed_state = "closed";
 
-/// Interval between reads of the VM list, whether or not a wave is running.
+/// Interval between reads of the VM list, whether or not a wave is running. Reading it costs time
+/// for each VM, so a long list is read less often.
 constexpr common::milliseconds list_interval{500};
+constexpr std::size_t vms_per_list_ms = 1;
 
 /// Delay before a failed store call is retried.
 constexpr common::milliseconds store_retry_delay{200};
@@ -354,7 +356,8 @@
 void fleet_controller::read_vm_list(common::steady_time now)
 {
     this->list_pending = true;
-    this->next_list = now + list_interval;
+    this->next_list =
+        now + std::max(list_interval, common::milliseconds(this->vms.size() / vms_per_list_ms));
     const std::weak_ptr<int> alive = this->lifetime;
     this->dependencies.machines.list_vms(
         [this, alive, now](common::result<std::vector<fleet::fleet_vm>> listed) {
--- a/src/daemon/worker_relay.cpp
+++ b/src/daemon/worker_relay.cpp
@@ -65,14 +65,14 @@
 
 void worker_relay::on_peer_connected(const membership::member& peer)
 {
-    this->zone_of_peer[peer.name] = peer.zone;
+    this->peers[peer.name] = {peer.zone, peer.is_ample};
     this->avoided_until.erase(peer.name);
     this->reset_assignment();
 }
 
 void worker_relay::on_peer_lost(const std::string& peer)
 {
-    if (this->zone_of_peer.erase(peer) == 0) {
+    if (this->peers.erase(peer) == 0) {
         return;
     }
     this->reset_assignment();
@@ -93,7 +93,7 @@
 {
     static const std::string this_node;
     if (this->zone_of_worker.size() <= this->options.max_direct_workers ||
-        this->zone_of_peer.empty()) {
+        this->peers.empty()) {
         return this_node;
     }
     const auto now = this->clock.steady_now();
@@ -130,25 +130,37 @@
         ++workers_in_zone[zone];
     }
     for (const auto& [zone, workers] : workers_in_zone) {
-        std::vector<std::string> candidates;
-        std::vector<std::string> in_other_zones;
-        for (const auto& [peer, peer_zone] : this->zone_of_peer) {
-            if (!this->avoided_until.contains(peer)) {
-                (peer_zone == zone ? candidates : in_other_zones).push_back(peer);
-            }
+        this->relays_of_zone[zone] = this->relays_for(zone, workers);
+    }
+}
+
+std::vector<std::string> worker_relay::relays_for(const std::string& zone,
+                                                  std::size_t worker_count) const
+{
+    // Ample peers of the zone come first, then its other peers, then peers of other zones.
+    const auto preference = [&](const std::string& name, const relay_peer& peer) {
+        const int group = peer.zone != zone ? 0 : peer.is_ample ? 2 : 1;
+        return std::pair(group, rendezvous_rank(name, zone));
+    };
+    std::vector<std::pair<std::pair<int, std::size_t>, std::string>> candidates;
+    for (const auto& [name, peer] : this->peers) {
+        if (!this->avoided_until.contains(name)) {
+            candidates.emplace_back(preference(name, peer), name);
         }
-        if (candidates.empty()) {
-            candidates = std::move(in_other_zones);
+    }
+    std::sort(candidates.rbegin(), candidates.rend());
+    std::vector<std::string> relays;
+    std::size_t capacity = 0;
+    for (const auto& [rank, name] : candidates) {
+        const bool in_zone = rank.first > 0;
+        if (capacity >= worker_count || (!in_zone && !relays.empty())) {
+            break;
         }
-        std::sort(candidates.begin(), candidates.end(),
-                  [&zone](const std::string& left, const std::string& right) {
-                      return rendezvous_rank(left, zone) > rendezvous_rank(right, zone);
-                  });
-        const std::size_t per_relay = this->options.workers_per_relay;
-        const std::size_t needed = (workers + per_relay - 1) / per_relay;
-        candidates.resize(std::min(candidates.size(), needed));
-        this->relays_of_zone[zone] = std::move(candidates);
+        capacity += this->peers.at(name).is_ample ? this->options.workers_per_ample_relay
+                                                  : this->options.workers_per_relay;
+        relays.push_back(name);
     }
+    return relays;
 }
 
 std::string worker_relay::choose_peer(const std::string& worker) const
--- a/src/daemon/worker_relay.h
+++ b/src/daemon/worker_relay.h
@@ -26,6 +26,7 @@
     /// So many workers of a zone share one relay. More of them make larger batches, which cost the
     /// owner less; fewer make the loss of one relay matter less.
     std::size_t workers_per_relay = 20;
+    std::size_t workers_per_ample_relay = 80;
     common::milliseconds result_delay{8}; ///< results that arrive within it are sent together
 
     friend bool operator==(const relay_options&, const relay_options&) = default;
@@ -82,6 +83,8 @@
     const std::string& peer_for(const std::string& worker);
     std::string choose_peer(const std::string& worker) const;
     void choose_relays();
+    [[nodiscard]] std::vector<std::string> relays_for(const std::string& zone,
+                                                      std::size_t worker_count) const;
     void reset_assignment();
 
     template <typename Command>
@@ -108,7 +111,12 @@
     membership::peer_network& network;
     scheduling::worker_port& direct;
     relay_options options;
-    std::map<std::string, std::string> zone_of_peer;
+    struct relay_peer {
+        std::string zone;
+        bool is_ample = false;
+    };
+
+    std::map<std::string, relay_peer> peers;
     std::map<std::string, common::steady_time> avoided_until; ///< by peer
     std::map<std::string, std::string> zone_of_worker;
     std::unordered_map<std::string, std::string> peer_of_worker; ///< cleared when peers change
--- a/src/membership/messages.cpp
+++ b/src/membership/messages.cpp
@@ -19,7 +19,12 @@
 {
     const member& sender = value.sender;
     to.array(4).add("hello").add(value.version);
-    to.array(4).add(sender.name).add(sender.zone).add(sender.address).add(sender.incarnation);
+    to.array(5)
+        .add(sender.name)
+        .add(sender.zone)
+        .add(sender.address)
+        .add(sender.incarnation)
+        .add(sender.is_ample);
     to.add(value.nonce);
 }
 
@@ -72,8 +77,9 @@
 
 member read_member(const msgpack_row& source)
 {
+    // Earlier versions do not say whether they are ample.
     return {source.get<std::string>(0), source.get<std::string>(1), source.get<std::string>(2),
-            source.get<std::int64_t>(3)};
+            source.get<std::int64_t>(3), source.size() <= 4 || source.get<bool>(4)};
 }
 
 heartbeat read_heartbeat(const msgpack_row& source)
--- a/src/membership/messages.h
+++ b/src/membership/messages.h
@@ -21,6 +21,7 @@
     std::string zone;
     std::string address; ///< "IP:port" that peers connect to
     std::int64_t incarnation = 0;
+    bool is_ample = true; ///< has processor and network to relay for many workers
 
     friend auto operator<=>(const member&, const member&) = default;
 };
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -167,6 +167,14 @@
     struct active_job {
         jobs::job spec;
         job_history history;
+        /// Cached, because each round of dispatch ranks all waiting jobs.
+        struct critical_paths {
+            common::milliseconds total{0};
+            common::milliseconds remaining{0}; ///< of the latest occurrence that is due
+            std::int64_t occurrence = 0;
+            common::steady_time valid_until;
+        };
+        critical_paths paths;
         job_progress progress;
         std::vector<std::vector<step_count>> counts; ///< by occurrence and step
         bool final_is_durable = false;
@@ -196,6 +204,7 @@
     [[nodiscard]] bool is_step_ready(const active_job& job, std::int64_t occurrence,
                                      jobs::step_index step) const;
     [[nodiscard]] common::milliseconds critical_path(const active_job& job) const;
+    void refresh_paths(active_job& job, std::int64_t unix_ms) const;
     [[nodiscard]] common::milliseconds remaining_critical_path(const active_job& job,
                                                                std::int64_t occurrence) const;
     void handle_finished_run(worker_state& worker, const finished_run& finished,
@@ -249,7 +258,7 @@
     void send_start(const jobs::task_id& task, open_run& run, common::steady_time now);
     ticket_cache* find_tickets(active_job& job, std::int64_t occurrence, jobs::step_index step,
                                common::steady_time now);
-    [[nodiscard]] rank rank_of(const active_job& job, std::int64_t unix_ms) const;
+    [[nodiscard]] rank rank_of(active_job& job, std::int64_t unix_ms) const;
     void flush_journal(common::steady_time now);
     [[nodiscard]] static bool is_closed(const active_job& job);
     [[nodiscard]] bool may_start(common::steady_time now) const;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -15,6 +15,9 @@
 constexpr std::int64_t waiting_jobs_per_ms = 20;
 constexpr common::milliseconds max_dispatch_gap{50};
 
+/// Critical paths change as run times are learned, and when a step ends.
+constexpr common::milliseconds path_refresh_interval{200};
+
 /// Minimum gap before a round that an event causes, so that a burst of ended runs needs one round.
 constexpr common::milliseconds reaction_gap{5};
 
@@ -43,21 +46,17 @@
 
 } // namespace
 
-scheduler::rank scheduler::rank_of(const active_job& job, std::int64_t unix_ms) const
+scheduler::rank scheduler::rank_of(active_job& job, std::int64_t unix_ms) const
 {
     const jobs::queue_policy& queue = this->policy_of(job);
     if (job.spec.is_long_running()) {
         return {0, queue.priority, static_cast<double>(job.spec.accepted_ms)};
     }
-    std::int64_t occurrence = 0;
-    while (occurrence + 1 < job.spec.occurrences() && job.spec.due_ms(occurrence + 1) <= unix_ms) {
-        ++occurrence;
-    }
-    const auto total_path = static_cast<double>(this->critical_path(job).count());
+    this->refresh_paths(job, unix_ms);
+    const auto total_path = static_cast<double>(job.paths.total.count());
     const double objective = queue.stretch * total_path + static_cast<double>(queue.target.count());
-    const auto age = static_cast<double>(unix_ms - job.spec.due_ms(occurrence));
-    const auto remaining =
-        static_cast<double>(this->remaining_critical_path(job, occurrence).count());
+    const auto age = static_cast<double>(unix_ms - job.spec.due_ms(job.paths.occurrence));
+    const auto remaining = static_cast<double>(job.paths.remaining.count());
     const double slack = objective - age - remaining;
     if (slack >= 0) {
         return {1, queue.priority, slack};
@@ -66,6 +65,19 @@
     return {earns_credit ? 2 : 3, queue.priority, slack};
 }
 
+void scheduler::refresh_paths(active_job& job, std::int64_t unix_ms) const
+{
+    if (this->last_now < job.paths.valid_until) {
+        return;
+    }
+    std::int64_t occurrence = 0;
+    while (occurrence + 1 < job.spec.occurrences() && job.spec.due_ms(occurrence + 1) <= unix_ms) {
+        ++occurrence;
+    }
+    job.paths = {this->critical_path(job), this->remaining_critical_path(job, occurrence),
+                 occurrence, this->last_now + path_refresh_interval};
+}
+
 common::milliseconds scheduler::critical_path(const active_job& job) const
 {
     std::vector<common::milliseconds> ends(job.spec.steps.size());
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -350,6 +350,7 @@
     step_count& counts = job.counts.at(occurrence).at(task.step);
     --counts.open;
     ++counts.done;
+    job.paths.valid_until = {};
     tasks.at(static_cast<std::size_t>(task.index)) = {};
     tasks.at(static_cast<std::size_t>(task.index)).state = task_progress::phase::done;
     if (!job.spec.steps.at(task.step).gang) {
