Say when the owner falls behind: gauge, log line

Cause: an owner short of processor fell behind silently. Change: its timer's lateness is a gauge (owner_lag_seconds) and, above 150 ms, a log line a second with the events handled since.

--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -37,6 +37,7 @@
     claim_seen = 3103,
     takeover_read = 3104,
     journal_failed = 3105,
+    owner_behind = 3106,
     vm_list_failed = 4001,
     vm_leaving = 4002,
     upstream_ejected = 5001,
@@ -77,7 +78,7 @@
     severity level;
 };
 
-inline constexpr std::array<event_entry, 55> event_catalogue{{
+inline constexpr std::array<event_entry, 56> event_catalogue{{
     {event_id::node_started, "node_started", severity::info},
     {event_id::node_ready, "node_ready", severity::info},
     {event_id::node_stopping, "node_stopping", severity::info},
@@ -111,6 +112,7 @@
     {event_id::claim_seen, "claim_seen", severity::info},
     {event_id::takeover_read, "takeover_read", severity::info},
     {event_id::journal_failed, "journal_failed", severity::warning},
+    {event_id::owner_behind, "owner_behind", severity::warning},
     {event_id::job_accepted, "job_accepted", severity::info},
     {event_id::job_refused, "job_refused", severity::info},
     {event_id::job_unknown_fate, "job_unknown_fate", severity::warning},
--- a/src/daemon/fleet_metrics.cpp
+++ b/src/daemon/fleet_metrics.cpp
@@ -109,6 +109,7 @@
         .Set(static_cast<double>(current.configuration_version));
     this->node.Add({{"value", "store_contact_age_seconds"}})
         .Set(seconds(current.store_contact_age));
+    this->node.Add({{"value", "owner_lag_seconds"}}).Set(seconds(current.owner_lag));
     this->set_scheduler_gauges(current.active_scheduler);
     return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
--- a/src/daemon/fleet_metrics.h
+++ b/src/daemon/fleet_metrics.h
@@ -25,6 +25,7 @@
         bool ready = false;
         std::int64_t configuration_version = 0;
         common::milliseconds store_contact_age{0};
+        common::milliseconds owner_lag{0}; ///< of its timer, at most since the last reading
         /// Null unless this node owns the fleet.
         const scheduling::scheduler* active_scheduler = nullptr;
 
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -119,6 +119,7 @@
     current.store_contact_age = std::chrono::duration_cast<common::milliseconds>(
         this->dependencies.clock.steady_now() - this->last_store_contact);
     current.active_scheduler = this->owner_host.active_scheduler();
+    current.owner_lag = this->owner_host.take_lag();
     return this->dependencies.metrics.text(current);
 }
 
--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -14,6 +14,10 @@
 constexpr common::milliseconds owner_tick_interval{15};
 constexpr common::milliseconds idle_tick_interval{40};
 
+/// A timer that is later than this shows that the owner lacks processor time.
+constexpr common::milliseconds notable_lag{150};
+constexpr common::milliseconds lag_report_interval{1000};
+
 /// Interval at which closed jobs are purged, one page at a time.
 constexpr common::milliseconds purge_interval{5000};
 
@@ -142,11 +146,40 @@
     this->run_claim_actions();
 }
 
+common::milliseconds scheduler_host::take_lag()
+{
+    return std::exchange(this->max_lag, {});
+}
+
+void scheduler_host::observe_lag()
+{
+    const auto lag =
+        std::chrono::duration_cast<common::milliseconds>(this->now() - this->tick_due);
+    this->max_lag = std::max(this->max_lag, lag);
+    if (lag < notable_lag || this->now() < this->next_lag_report) {
+        return;
+    }
+    this->next_lag_report = this->now() + lag_report_interval;
+    const handled_events events = std::exchange(this->handled, {});
+    this->dependencies.log.write(event_id::owner_behind,
+                                 {{"lag_ms", lag.count()},
+                                  {"polls", events.polls},
+                                  {"starts", events.starts},
+                                  {"jobs", events.jobs},
+                                  {"commits", events.commits},
+                                  {"token", this->token}});
+}
+
 void scheduler_host::schedule_tick()
 {
-    this->timer.expires_after(this->scheduler ? owner_tick_interval : idle_tick_interval);
+    const auto interval = this->scheduler ? owner_tick_interval : idle_tick_interval;
+    this->tick_due = this->now() + interval;
+    this->timer.expires_after(interval);
     this->timer.async_wait([this](const boost::system::error_code& failure) {
         if (!failure && !this->stopped) {
+            if (this->scheduler) {
+                this->observe_lag();
+            }
             this->schedule_tick(); // first, so that an error in a tick does not end the ticks
             this->tick();
         }
@@ -322,6 +355,7 @@
 {
     if (this->scheduler) {
         this->known_input_keys.insert(store_keys::make_key(store_keys::jobs, accepted.id));
+        ++this->handled.jobs;
         this->scheduler->submit_job(accepted, this->now());
         this->react();
     }
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -71,6 +71,9 @@
     /// Returns the scheduler while this node owns the fleet; null otherwise.
     [[nodiscard]] scheduling::scheduler* active_scheduler();
 
+    /// Returns by how much the owner's timer was late at most since the last call.
+    common::milliseconds take_lag();
+
     /// Passes a durable job or cancellation to the scheduler. Does nothing unless this node owns
     /// the fleet.
     void handle_job(const jobs::job& accepted);
@@ -120,6 +123,7 @@
     void delete_closed_jobs(std::vector<std::string> keys);
 
     void react();
+    void observe_lag();
     void execute_actions();
     void execute(scheduling::action&& what);
     void write_journal(scheduling::journal_write&& order);
@@ -163,6 +167,17 @@
     std::unique_ptr<scheduling::scheduler> scheduler;
     std::unique_ptr<fleet_controller> controller;
     std::set<std::string> known_input_keys;
+    /// Events that the owner has handled since it last reported its lag.
+    struct handled_events {
+        std::int64_t polls = 0;
+        std::int64_t starts = 0;
+        std::int64_t jobs = 0;
+        std::int64_t commits = 0;
+    };
+    handled_events handled;
+    common::steady_time tick_due; ///< when the pending tick should run
+    common::steady_time next_lag_report;
+    common::milliseconds max_lag{0}; ///< since the metrics were last read
     common::steady_time input_requested_at; ///< when the latest read of the input was sent
     std::int64_t journal_revision = 0;
     std::unique_ptr<pending_journal_write> pending_write;
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -122,6 +122,7 @@
             *poll, this->token,
             this->bind_to_claim([this, sent_at, instance](scheduling::command_outcome outcome,
                                                           scheduling::worker_report report) {
+                ++this->handled.polls;
                 this->scheduler->handle_poll_result({instance, sent_at, outcome, std::move(report)},
                                                     this->now());
                 this->react();
@@ -129,6 +130,7 @@
     } else if (auto* start = std::get_if<scheduling::start_command>(&what)) {
         this->dependencies.workers.start(
             *start, this->token, this->bind_to_claim([this](scheduling::command_result answer) {
+                ++this->handled.starts;
                 this->scheduler->handle_start_result(answer, this->now());
                 this->react();
             }));
@@ -229,6 +231,7 @@
     this->journal_revision = revision;
     const std::uint64_t batch = this->pending_write->batch;
     this->pending_write.reset();
+    ++this->handled.commits;
     this->scheduler->handle_journal_commit(batch, this->now());
     this->execute_actions();
 }
