--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -344,7 +344,7 @@
     this->scheduler.reset();
     this->controller.reset();
     this->takeover.reset();
-    this->pending_write.reset();
+    this->pending_writes.clear();
     this->input_follower.reset();
     this->known_input_keys.clear();
     this->worker_entries_read = false;
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -85,7 +85,7 @@
 
     /// State read from the store since the claim was acquired.
     struct takeover_state {
-        bool head_read = false;
+        std::size_t heads_read = 0; ///< of journal lanes
         bool progress_read = false;
         bool input_read = false;
         store::item_map input;
@@ -111,7 +111,8 @@
 
     void begin_takeover(std::int64_t token);
     void retry_read(std::function<void()> read);
-    void read_journal_head();
+    void read_journal_head(std::size_t lane);
+    [[nodiscard]] std::size_t lane_count() const;
     void read_progress(const std::string& after);
     void follow_input();
     void handle_input(const store::item_map& items);
@@ -127,8 +128,8 @@
     void execute_actions();
     void execute(scheduling::action&& what);
     void write_journal(scheduling::journal_write&& order);
-    void send_journal_write();
-    void handle_journal_result(common::result<store::commit_outcome> outcome);
+    void send_journal_write(std::size_t lane);
+    void handle_journal_result(std::size_t lane, common::result<store::commit_outcome> outcome);
     void log_decision(const scheduling::decision_record& decision);
 
     [[nodiscard]] common::steady_time now() const;
@@ -179,8 +180,8 @@
     common::steady_time next_lag_report;
     common::milliseconds max_lag{0}; ///< since the metrics were last read
     common::steady_time input_requested_at; ///< when the latest read of the input was sent
-    std::int64_t journal_revision = 0;
-    std::unique_ptr<pending_journal_write> pending_write;
+    std::map<std::size_t, std::int64_t> journal_revisions;          ///< of the heads, by lane
+    std::map<std::size_t, pending_journal_write> pending_writes;    ///< by lane
     std::string purge_cursor; ///< the purge continues after this key
     common::steady_time next_purge;
     bool resigning = false;
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -167,17 +167,18 @@
 
 void scheduler_host::write_journal(scheduling::journal_write&& order)
 {
-    this->pending_write = std::make_unique<pending_journal_write>();
-    this->pending_write->batch = order.batch;
-    this->pending_write->head_value =
-        std::to_string(this->token) + ":" + std::to_string(order.batch);
-    store::transaction& changes = this->pending_write->changes;
-    // The claim's creation revision fences out a deposed owner. The journal head serializes this
-    // owner's own writes, so that a write whose response was lost cannot take effect after a later
+    pending_journal_write& pending = this->pending_writes[order.lane];
+    pending = {};
+    pending.batch = order.batch;
+    pending.head_value = std::to_string(this->token) + ":" + std::to_string(order.batch);
+    const std::string head = store_keys::journal_head(order.lane);
+    store::transaction& changes = pending.changes;
+    // The claim's creation revision fences out a deposed owner. The lane's head serializes this
+    // owner's own writes in it, so that a write whose response was lost cannot take effect after a later
     // one.
     changes.expected.push_back({std::string(store_keys::claim), this->token});
-    changes.expected.push_back({std::string(store_keys::journal), this->journal_revision});
-    changes.set.push_back({std::string(store_keys::journal), this->pending_write->head_value, 0});
+    changes.expected.push_back({head, this->journal_revisions[order.lane]});
+    changes.set.push_back({head, pending.head_value, 0});
     for (scheduling::document_change& each : order.changes) {
         const std::string progress_key = store_keys::make_key(store_keys::progress, each.job);
         if (!each.closed) {
@@ -192,34 +193,38 @@
         changes.remove.push_back(store_keys::make_key(store_keys::cancels, each.job));
         changes.remove.push_back(progress_key);
     }
-    this->send_journal_write();
+    this->send_journal_write(order.lane);
 }
 
-void scheduler_host::send_journal_write()
+void scheduler_host::send_journal_write(std::size_t lane)
 {
     this->dependencies.store.commit(
-        this->pending_write->changes,
-        this->bind_to_claim([this](common::result<store::commit_outcome> outcome) {
-            this->handle_journal_result(std::move(outcome));
+        this->pending_writes.at(lane).changes,
+        this->bind_to_claim([this, lane](common::result<store::commit_outcome> outcome) {
+            this->handle_journal_result(lane, std::move(outcome));
         }));
 }
 
-void scheduler_host::handle_journal_result(common::result<store::commit_outcome> outcome)
+void scheduler_host::handle_journal_result(std::size_t lane,
+                                           common::result<store::commit_outcome> outcome)
 {
+    const pending_journal_write& pending = this->pending_writes.at(lane);
     if (!outcome) {
         this->dependencies.log.write(
             event_id::journal_failed,
-            {{"error", outcome.error().to_string()}, {"batch", this->pending_write->batch}});
+            {{"error", outcome.error().to_string()}, {"batch", pending.batch}});
         auto retry = std::make_shared<boost::asio::steady_timer>(this->dependencies.context,
                                                                  journal_retry_delay);
         retry->async_wait(this->bind_to_claim(
-            [this, retry](const boost::system::error_code&) { this->send_journal_write(); }));
+            [this, retry, lane](const boost::system::error_code&) {
+                this->send_journal_write(lane);
+            }));
         return;
     }
     bool applied = outcome.value().committed;
     std::int64_t revision = outcome.value().revision;
     for (const store::item& each : outcome.value().current) {
-        if (each.key == store_keys::journal && each.value == this->pending_write->head_value) {
+        if (each.key == store_keys::journal_head(lane) && each.value == pending.head_value) {
             applied = true; // an earlier attempt of the same write was committed
             revision = each.revision;
         }
@@ -228,9 +233,9 @@
         this->abandon("the claim or the journal head has changed");
         return;
     }
-    this->journal_revision = revision;
-    const std::uint64_t batch = this->pending_write->batch;
-    this->pending_write.reset();
+    this->journal_revisions[lane] = revision;
+    const std::uint64_t batch = pending.batch;
+    this->pending_writes.erase(lane);
     ++this->handled.commits;
     this->scheduler->handle_journal_commit(batch, this->now());
     this->execute_actions();
--- a/src/daemon/scheduler_host_takeover.cpp
+++ b/src/daemon/scheduler_host_takeover.cpp
@@ -26,7 +26,9 @@
         this->owner_callback(*this->ownership_claim.last_seen_claim());
     }
     this->takeover = std::make_unique<takeover_state>();
-    this->read_journal_head();
+    for (std::size_t lane = 0; lane < this->lane_count(); ++lane) {
+        this->read_journal_head(lane);
+    }
     this->read_progress({});
     this->follow_input();
     this->dependencies.registry.subscribe(
@@ -50,17 +52,22 @@
         [delay, read = std::move(read)](const boost::system::error_code&) { read(); }));
 }
 
-void scheduler_host::read_journal_head()
+std::size_t scheduler_host::lane_count() const
+{
+    return this->dependencies.scheduling_options.journal_lanes;
+}
+
+void scheduler_host::read_journal_head(std::size_t lane)
 {
     this->dependencies.store.read(
-        std::string(store_keys::journal),
-        this->bind_to_claim([this](common::result<std::optional<store::item>> head) {
+        store_keys::journal_head(lane),
+        this->bind_to_claim([this, lane](common::result<std::optional<store::item>> head) {
             if (!head) {
-                this->retry_read([this] { this->read_journal_head(); });
+                this->retry_read([this, lane] { this->read_journal_head(lane); });
                 return;
             }
-            this->journal_revision = head.value() ? head.value()->revision : 0;
-            this->takeover->head_read = true;
+            this->journal_revisions[lane] = head.value() ? head.value()->revision : 0;
+            ++this->takeover->heads_read;
             this->finish_takeover_if_ready();
         }));
 }
@@ -142,7 +149,7 @@
 
 void scheduler_host::finish_takeover_if_ready()
 {
-    if (!this->takeover || !this->takeover->head_read || !this->takeover->progress_read ||
+    if (!this->takeover || this->takeover->heads_read < this->lane_count() || !this->takeover->progress_read ||
         !this->takeover->input_read || !this->worker_entries_read || !this->configuration) {
         return;
     }
--- a/src/daemon/store_keys.h
+++ b/src/daemon/store_keys.h
@@ -6,7 +6,8 @@
 namespace chervilslip::daemon::store_keys {
 
 inline constexpr std::string_view claim = "chervilslip/claim";   ///< bound to the owner's lease
-inline constexpr std::string_view journal = "chervilslip/chain"; ///< serializes the owner's writes
+/// Head of the first journal lane. A head serializes the owner's writes of its lane.
+inline constexpr std::string_view journal = "chervilslip/chain";
 inline constexpr std::string_view input = "chervilslip/in/"; ///< written by nodes that accept jobs
 inline constexpr std::string_view jobs = "chervilslip/in/job/";
 inline constexpr std::string_view cancels = "chervilslip/in/cancel/";
@@ -23,4 +24,14 @@
     return key;
 }
 
+/// Returns the key of a journal lane's head.
+inline std::string journal_head(std::size_t lane)
+{
+    std::string key(journal);
+    if (lane > 0) {
+        key += "/" + std::to_string(lane);
+    }
+    return key;
+}
+
 } // namespace chervilslip::daemon::store_keys
--- a/src/daemon/worker_relay.h
+++ b/src/daemon/worker_relay.h
@@ -25,8 +25,8 @@
 
     /// So many workers of a zone share one relay. More of them make larger batches, which cost the
     /// owner less; fewer make the loss of one relay matter less.
-    std::size_t workers_per_relay = 20;
-    std::size_t workers_per_ample_relay = 80;
+    std::size_t workers_per_relay = 10;
+    std::size_t workers_per_ample_relay = 30;
     common::milliseconds result_delay{8}; ///< results that arrive within it are sent together
 
     friend bool operator==(const relay_options&, const relay_options&) = default;
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -61,6 +61,7 @@
     common::milliseconds poll_wait{1500};       ///< how long a poll waits for a run to end
     common::milliseconds inherited_lease{6300}; ///< leases of an earlier owner end within this time
     common::milliseconds stop_grace{900};       ///< time within which a stopped run ends
+    std::size_t journal_lanes = 4; ///< journal writes that may be under way at the same time
     /// Nothing is started while the latest confirmed input, cancellations included, is older than
     /// this; unset: not checked.
     std::optional<common::milliseconds> max_input_age;
@@ -138,6 +139,7 @@
 /// committed.
 struct journal_write {
     std::uint64_t batch = 0;
+    std::size_t lane = 0; ///< writes of different lanes are independent of each other
     std::vector<document_change> changes;
 
     friend bool operator==(const journal_write&, const journal_write&) = default;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -73,7 +73,8 @@
     return "stopped";
 }
 
-scheduler::scheduler(scheduler_options initial_options) : options(initial_options)
+scheduler::scheduler(scheduler_options initial_options)
+    : options(initial_options), lanes(std::max<std::size_t>(initial_options.journal_lanes, 1))
 {
 }
 
@@ -152,19 +153,24 @@
     });
 }
 
-std::set<std::string> scheduler::collect_changes(journal_write& write)
+journal_lane& scheduler::lane_of(const std::string& job)
+{
+    return this->lanes[std::hash<std::string>{}(job) % this->lanes.size()];
+}
+
+std::set<std::string> scheduler::collect_changes(journal_lane& lane, journal_write& write)
 {
     std::set<std::string> chosen;
     std::size_t entries = 0;
-    while (!this->dirty_jobs.empty()) {
-        const std::string id = *this->dirty_jobs.begin();
+    while (const std::string* front = lane.changed.front()) {
+        const std::string id = *front;
         const active_job& job = this->jobs_by_id.at(id);
         const bool closed = is_closed(job);
         entries += closed ? entries_per_closed_job : entries_per_progress;
         if (entries > max_batch_entries) {
             break;
         }
-        this->dirty_jobs.erase(id);
+        lane.changed.pop_front();
         chosen.insert(id);
         write.changes.push_back({id, closed ? std::string{} : encode_progress(job.progress),
                                  job.progress.state, closed});
@@ -174,67 +180,101 @@
 
 void scheduler::flush_journal(common::steady_time now)
 {
-    const bool full = this->dirty_jobs.size() >= max_batch_entries;
-    if (this->batch_in_flight || this->dirty_jobs.empty() ||
-        (!full && now < this->last_flush + flush_interval)) {
+    for (std::size_t i = 0; i < this->lanes.size(); ++i) {
+        this->flush_lane(i, now);
+    }
+}
+
+void scheduler::flush_lane(std::size_t number, common::steady_time now)
+{
+    journal_lane& lane = this->lanes[number];
+    const bool full = lane.changed.size() >= max_batch_entries;
+    if (lane.batch_in_flight || lane.changed.size() == 0 ||
+        (!full && now < lane.last_flush + flush_interval)) {
         return;
     }
-    this->last_flush = now;
-    this->batch_in_flight = this->next_batch++;
-    journal_write write{*this->batch_in_flight, {}};
-    const std::set<std::string> chosen = this->collect_changes(write);
-    const auto first_of_batch = std::stable_partition(
-        this->planned_starts.begin(), this->planned_starts.end(),
-        [&chosen](const planned_start& each) { return !chosen.contains(each.first.job); });
-    this->batch_starts.assign(first_of_batch, this->planned_starts.end());
-    this->planned_starts.erase(first_of_batch, this->planned_starts.end());
-    for (auto& [id, worker] : this->workers) {
-        for (pending_end& each : worker.pending_ends) {
-            if (each.batch == 0 && chosen.contains(each.job)) {
-                each.batch = write.batch;
+    lane.last_flush = now;
+    lane.batch_in_flight = this->next_batch++;
+    journal_write write{*lane.batch_in_flight, number, {}};
+    const std::set<std::string> chosen = this->collect_changes(lane, write);
+    const auto first_of_batch =
+        std::stable_partition(lane.planned_starts.begin(), lane.planned_starts.end(),
+                              [&chosen](const journal_lane::planned_start& each) {
+                                  return !chosen.contains(each.first.job);
+                              });
+    lane.batch_starts.assign(first_of_batch, lane.planned_starts.end());
+    lane.planned_starts.erase(first_of_batch, lane.planned_starts.end());
+    for (const std::string& job : chosen) {
+        const auto reported = lane.workers_of_ends.extract(job);
+        if (reported.empty()) {
+            continue;
+        }
+        for (const std::string& id : reported.mapped()) {
+            const auto worker = this->workers.find(id);
+            if (worker == this->workers.end()) {
+                continue;
             }
+            for (pending_end& each : worker->second.pending_ends) {
+                if (each.batch == 0 && each.job == job) {
+                    each.batch = write.batch;
+                }
+            }
+            lane.batch_workers.insert(id);
         }
     }
-    this->batch_changes = write.changes;
+    lane.batch_changes = write.changes;
     this->actions.emplace_back(std::move(write));
 }
 
 void scheduler::handle_journal_commit(std::uint64_t batch, common::steady_time now)
 {
-    if (this->batch_in_flight != batch) {
+    const auto found =
+        std::find_if(this->lanes.begin(), this->lanes.end(),
+                     [batch](const journal_lane& each) { return each.batch_in_flight == batch; });
+    if (found == this->lanes.end()) {
         return;
     }
-    this->batch_in_flight.reset();
-    for (const document_change& change : this->batch_changes) {
-        const auto found = this->jobs_by_id.find(change.job);
-        if (found == this->jobs_by_id.end()) {
+    journal_lane& lane = *found;
+    lane.batch_in_flight.reset();
+    for (const document_change& change : lane.batch_changes) {
+        const auto job = this->jobs_by_id.find(change.job);
+        if (job == this->jobs_by_id.end()) {
             continue;
         }
         if (change.closed) {
             this->closed_states[change.job] = change.state;
-            this->jobs_by_id.erase(found);
-            this->dirty_jobs.erase(change.job);
+            this->jobs_by_id.erase(job);
+            lane.changed.remove(change.job);
             continue;
         }
-        found->second.final_is_durable = jobs::is_final(change.state);
+        job->second.final_is_durable = jobs::is_final(change.state);
     }
-    for (auto& [id, worker] : this->workers) {
-        for (pending_end& each : worker.pending_ends) {
+    for (const std::string& id : std::exchange(lane.batch_workers, {})) {
+        const auto worker = this->workers.find(id);
+        if (worker == this->workers.end()) {
+            continue;
+        }
+        for (pending_end& each : worker->second.pending_ends) {
             each.durable = each.durable || each.batch == batch;
         }
-        worker.acknowledge_durable();
-        if (!worker.poll_in_flight && worker.pending_ends.empty()) {
-            worker.next_poll = std::min(worker.next_poll, now);
+        worker->second.acknowledge_durable();
+        if (!worker->second.poll_in_flight && worker->second.pending_ends.empty()) {
+            worker->second.next_poll = std::min(worker->second.next_poll, now);
         }
     }
-    for (const auto& [task, number] : std::exchange(this->batch_starts, {})) {
+    this->send_batch_starts(lane, now);
+    this->react(now, this->last_unix_ms);
+}
+
+void scheduler::send_batch_starts(journal_lane& lane, common::steady_time now)
+{
+    for (const auto& [task, number] : std::exchange(lane.batch_starts, {})) {
         const auto run = this->open_runs.find(task);
         if (run != this->open_runs.end() && run->second.run == number &&
             run->second.phase == run_phase::planned) {
             this->send_start(task, run->second, now);
         }
     }
-    this->react(now, this->last_unix_ms);
 }
 
 std::vector<action> scheduler::take_actions()
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -8,6 +8,7 @@
 #include "scheduling/best_effort_throttle.h"
 #include "scheduling/dispatch_round.h"
 #include "scheduling/duration_estimator.h"
+#include "scheduling/journal_lane.h"
 #include "scheduling/progress.h"
 #include "scheduling/worker_state.h"
 
@@ -260,9 +261,13 @@
                                common::steady_time now);
     [[nodiscard]] rank rank_of(active_job& job, std::int64_t unix_ms) const;
     void flush_journal(common::steady_time now);
+    void flush_lane(std::size_t number, common::steady_time now);
+    void send_batch_starts(journal_lane& lane, common::steady_time now);
+    [[nodiscard]] journal_lane& lane_of(const std::string& job);
+    void add_pending_end(worker_state& worker, const finished_run& finished, bool durable);
     [[nodiscard]] static bool is_closed(const active_job& job);
     [[nodiscard]] bool may_start(common::steady_time now) const;
-    std::set<std::string> collect_changes(journal_write& write);
+    std::set<std::string> collect_changes(journal_lane& lane, journal_write& write);
 
     void record(decision_record::kind what, std::string subject, std::string detail);
     [[nodiscard]] bool is_traced(const active_job& job) const;
@@ -278,14 +283,8 @@
     std::set<std::string> pending_cancels; ///< of jobs that are not known yet
     std::map<jobs::task_id, open_run> open_runs;
     std::map<std::string, teams::resources> team_usage;
-    std::set<std::string> dirty_jobs;
+    std::vector<journal_lane> lanes;
     std::uint64_t next_batch = 1;
-    std::optional<std::uint64_t> batch_in_flight;
-    std::vector<document_change> batch_changes;
-    using planned_start = std::pair<jobs::task_id, std::int64_t>; ///< task and run number
-    std::vector<planned_start> planned_starts;                    ///< not in a journal batch yet
-    std::vector<planned_start> batch_starts;
-    common::steady_time last_flush;
     common::steady_time authority_until;
     common::steady_time input_confirmed_at;
     common::steady_time last_now;
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -20,7 +20,7 @@
 
 void scheduler::mark_dirty(const active_job& job)
 {
-    this->dirty_jobs.insert(job.spec.id);
+    this->lane_of(job.spec.id).changed.add(job.spec.id);
 }
 
 void scheduler::count_tasks(active_job& job)
@@ -202,16 +202,16 @@
                              run->second.worker == worker.entry.instance;
     if (!is_expected && job != nullptr && finished.cause == end_cause::done &&
         this->accept_late_completion(*job, finished, now)) {
-        worker.pending_ends.push_back({finished.number, finished.task.job, 0, false});
+        this->add_pending_end(worker, finished, false);
         return;
     }
     if (!is_expected) {
         // The run was given up before, or its job is closed. Nothing depends on the end any more,
         // so it may be acknowledged at once unless the job still has unwritten changes.
         const bool has_unwritten_changes =
-            job != nullptr && this->dirty_jobs.contains(finished.task.job);
-        worker.pending_ends.push_back(
-            {finished.number, finished.task.job, 0, !has_unwritten_changes});
+            job != nullptr &&
+            this->lane_of(finished.task.job).changed.contains(finished.task.job);
+        this->add_pending_end(worker, finished, !has_unwritten_changes);
         return;
     }
     if (finished.cause == end_cause::done) {
@@ -227,7 +227,17 @@
         worker.last_failure = now;
     }
     this->end_run(*job, finished.task, finished.cause, finished.checkpoint, now);
-    worker.pending_ends.push_back({finished.number, finished.task.job, 0, false});
+    this->add_pending_end(worker, finished, false);
+}
+
+void scheduler::add_pending_end(worker_state& worker, const finished_run& finished, bool durable)
+{
+    worker.pending_ends.push_back({finished.number, finished.task.job, 0, durable});
+    if (!durable) {
+        this->lane_of(finished.task.job)
+            .workers_of_ends[finished.task.job]
+            .insert(worker.entry.instance.id);
+    }
 }
 
 bool scheduler::accept_late_completion(active_job& job, const finished_run& finished,
@@ -295,8 +305,9 @@
         worker->second.used -= freed;
         worker->second.idle_since = this->last_now;
     }
-    std::erase_if(this->planned_starts,
-                  [&task](const planned_start& each) { return each.first == task; });
+    std::erase_if(
+        this->lane_of(task.job).planned_starts,
+        [&task](const journal_lane::planned_start& each) { return each.first == task; });
     this->open_runs.erase(run);
     this->dispatch_due = true;
 }
--- a/src/scheduling/tests/scheduler_fixture.h
+++ b/src/scheduling/tests/scheduler_fixture.h
@@ -89,9 +89,9 @@
             if (this->hold_journal || this->journal.empty()) {
                 break;
             }
-            const auto batch = this->journal.front().batch;
-            this->journal.clear();
-            this->under_test.handle_journal_commit(batch, this->now());
+            for (const journal_write& each : std::exchange(this->journal, {})) {
+                this->under_test.handle_journal_commit(each.batch, this->now());
+            }
         }
     }
 
--- a/src/scheduling/tests/scheduler_tests.cpp
+++ b/src/scheduling/tests/scheduler_tests.cpp
@@ -378,4 +378,37 @@
     cr_assert(fixture.starts.size() == 1);
 }
 
+Test(scheduler, a_backlog_of_journal_writes_delays_all_jobs_alike)
+{
+    // given more changed jobs than fit into the writes that may be under way
+    scheduler_options options;
+    options.journal_lanes = 2;
+    std::vector<worker_entry> workers;
+    for (int i = 0; i < 40; ++i) {
+        workers.push_back(make_worker("w" + std::to_string(i)));
+    }
+    scheduler_fixture fixture(workers, {}, options);
+    fixture.answer_first_polls();
+    fixture.hold_journal = true;
+    for (int i = 0; i < 100; ++i) {
+        // The first jobs have the ids that sort last.
+        fixture.under_test.submit_job(make_job("j" + std::to_string(999 - i)), fixture.now());
+        fixture.advance(fixture.now_ms + 30);
+    }
+
+    // when the writes under way are committed
+    cr_assert(fixture.journal.size() == 2, "writes of the lanes are independent");
+    fixture.hold_journal = false;
+    fixture.advance();
+
+    // then the next ones hold the jobs that have waited longest
+    std::set<std::string> first_started;
+    for (std::size_t i = 0; i < 40; ++i) {
+        first_started.insert(fixture.starts.at(i).task.job);
+    }
+    cr_assert(first_started.contains("j999"));
+    cr_assert(first_started.contains("j970"));
+    cr_assert(!first_started.contains("j900"));
+}
+
 } // namespace
--- a/src/soak/fleet_world.cpp
+++ b/src/soak/fleet_world.cpp
@@ -227,7 +227,7 @@
     auto made = std::make_shared<owner_model>();
     made->token = ++this->revision;
     this->claim_token = made->token;
-    made->journal_revision = this->journal_revision;
+    made->journal_revisions = this->journal_revisions;
     scheduling::scheduler_options scheduler_options;
     scheduler_options.token = made->token;
     if (this->options.fault == fleet_fault::no_inherited_wait) {
@@ -323,8 +323,9 @@
     } else if (auto* stop = std::get_if<scheduling::stop_command>(&what)) {
         this->send_stop(which, *stop);
     } else if (auto* order = std::get_if<scheduling::journal_write>(&what)) {
-        which->writing = std::move(*order);
-        this->write_journal(which, 0);
+        const std::size_t lane = order->lane;
+        which->writing[lane] = std::move(*order);
+        this->write_journal(which, lane);
     }
 }
 
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -68,8 +68,8 @@
         std::unique_ptr<scheduling::scheduler> scheduler;
         std::int64_t token = 0;
         std::int64_t authority_until = 0;
-        std::int64_t journal_revision = 0;
-        std::optional<scheduling::journal_write> writing;
+        std::map<std::size_t, std::int64_t> journal_revisions;       ///< by lane
+        std::map<std::size_t, scheduling::journal_write> writing;    ///< by lane
         bool gone = false;
     };
 
@@ -113,7 +113,7 @@
                                          const scheduling::start_command& order);
     void send_stop(const owner& which, const scheduling::stop_command& order);
     scheduling::command_outcome do_stop(std::int64_t token, const scheduling::stop_command& order);
-    void write_journal(const owner& which, int tries);
+    void write_journal(const owner& which, std::size_t lane);
     bool commit(std::int64_t token, std::int64_t revision, const scheduling::journal_write& order);
 
     void choose_end(fakes::run_request& request);
@@ -140,8 +140,8 @@
     std::set<std::string> stored_cancels;
     std::int64_t claim_token = 0;
     std::int64_t revision = 0;
-    std::int64_t journal_revision = 0;
-    std::string journal_mark;
+    std::map<std::size_t, std::int64_t> journal_revisions; ///< by lane
+    std::map<std::size_t, std::string> journal_marks;      ///< by lane
     owner current;
 };
 
--- a/src/soak/fleet_world_network.cpp
+++ b/src/soak/fleet_world_network.cpp
@@ -14,11 +14,11 @@
 bool fleet_world::commit(std::int64_t token, std::int64_t expected,
                          const scheduling::journal_write& order)
 {
-    if (token != this->claim_token || expected != this->journal_revision) {
+    if (token != this->claim_token || expected != this->journal_revisions[order.lane]) {
         return false;
     }
-    this->journal_revision = ++this->revision;
-    this->journal_mark = std::to_string(token) + ":" + std::to_string(order.batch);
+    this->journal_revisions[order.lane] = ++this->revision;
+    this->journal_marks[order.lane] = std::to_string(token) + ":" + std::to_string(order.batch);
     if (this->options.fault == fleet_fault::skip_journal) {
         return true;
     }
@@ -33,10 +33,10 @@
     return true;
 }
 
-void fleet_world::write_journal(const owner& which, int tries)
+void fleet_world::write_journal(const owner& which, std::size_t lane)
 {
-    const auto order = *which->writing;
-    const std::int64_t expected = which->journal_revision;
+    const auto order = which->writing.at(lane);
+    const std::int64_t expected = which->journal_revisions[lane];
     const bool lost = !this->calm() && this->random.chance(0.1);
     const bool late = lost && this->random.chance(0.5);
     const std::int64_t done_at =
@@ -49,17 +49,17 @@
         });
     }
     this->at(this->now + (lost ? unanswered_after_ms : 8), [this, which, order, outcome, lost,
-                                                            tries] {
+                                                            lane] {
         if (which->gone) {
             return;
         }
         const std::string mark = std::to_string(which->token) + ":" + std::to_string(order.batch);
         if (lost) {
-            this->write_journal(which, tries + 1);
+            this->write_journal(which, lane);
         } else if (outcome->value_or(false) ||
-                   (this->journal_mark == mark && which->token == this->claim_token)) {
-            which->journal_revision = this->journal_revision;
-            which->writing.reset();
+                   (this->journal_marks[lane] == mark && which->token == this->claim_token)) {
+            which->journal_revisions[lane] = this->journal_revisions[lane];
+            which->writing.erase(lane);
             which->scheduler->handle_journal_commit(order.batch, steady(this->now));
             this->run_cell(which);
         } else {
