--- a/src/daemon/worker_relay.cpp
+++ b/src/daemon/worker_relay.cpp
@@ -43,17 +43,23 @@
 
 void worker_relay::update_workers(const std::vector<scheduling::worker_entry>& entries)
 {
-    std::map<std::string, std::string> zones;
-    for (const scheduling::worker_entry& each : entries) {
-        zones.emplace(each.instance.id, each.zone);
-    }
-    if (zones == this->zone_of_worker) {
+    const bool same =
+        entries.size() == this->zone_of_worker.size() &&
+        std::all_of(entries.begin(), entries.end(), [this](const scheduling::worker_entry& each) {
+            const auto known = this->zone_of_worker.find(each.instance.id);
+            return known != this->zone_of_worker.end() && known->second == each.zone;
+        });
+    if (same) {
         return;
     }
-    this->zone_of_worker = std::move(zones);
+    this->zone_of_worker.clear();
+    for (const scheduling::worker_entry& each : entries) {
+        this->zone_of_worker[each.instance.id] = each.zone;
+    }
     this->relays_of_zone.clear();
     std::erase_if(this->peer_of_worker, [this](const auto& each) {
-        return !this->zone_of_worker.contains(each.first);
+        const auto known = this->zone_of_worker.find(each.first);
+        return known == this->zone_of_worker.end();
     });
 }
 
--- a/src/daemon/worker_relay.h
+++ b/src/daemon/worker_relay.h
@@ -118,7 +118,7 @@
 
     std::map<std::string, relay_peer> peers;
     std::map<std::string, common::steady_time> avoided_until; ///< by peer
-    std::map<std::string, std::string> zone_of_worker;
+    std::unordered_map<std::string, std::string> zone_of_worker;
     std::unordered_map<std::string, std::string> peer_of_worker; ///< cleared when peers change
     /// The peers that relay commands to the workers of a zone; empty until they are chosen.
     std::map<std::string, std::vector<std::string>> relays_of_zone;
