Start the jobs first that will probably be in time

Cause: under a turn of demand beyond the pool the order was least slack first, by mean run times. Change: a job that has not begun needs a margin (a share of its path, and time for each step); without it, it waits for what the others leave. A begun job goes on as long as it may still be in time.

--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -14,7 +14,7 @@
     std::int64_t incarnation = 0; ///< increases each time a node of this name restarts
     std::string zone;
     net::endpoint peer_endpoint;
-    bool is_ample = true; ///< has processor and network to relay for many workers
+    bool is_ample = true;             ///< has processor and network to relay for many workers
     std::vector<net::endpoint> seeds; ///< where peers may be found; may be stale
 
     friend bool operator==(const node_identity&, const node_identity&) = default;
--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -153,21 +153,19 @@
 
 void scheduler_host::observe_lag()
 {
-    const auto lag =
-        std::chrono::duration_cast<common::milliseconds>(this->now() - this->tick_due);
+    const auto lag = std::chrono::duration_cast<common::milliseconds>(this->now() - this->tick_due);
     this->max_lag = std::max(this->max_lag, lag);
     if (lag < notable_lag || this->now() < this->next_lag_report) {
         return;
     }
     this->next_lag_report = this->now() + lag_report_interval;
     const handled_events events = std::exchange(this->handled, {});
-    this->dependencies.log.write(event_id::owner_behind,
-                                 {{"lag_ms", lag.count()},
-                                  {"polls", events.polls},
-                                  {"starts", events.starts},
-                                  {"jobs", events.jobs},
-                                  {"commits", events.commits},
-                                  {"token", this->token}});
+    this->dependencies.log.write(event_id::owner_behind, {{"lag_ms", lag.count()},
+                                                          {"polls", events.polls},
+                                                          {"starts", events.starts},
+                                                          {"jobs", events.jobs},
+                                                          {"commits", events.commits},
+                                                          {"token", this->token}});
 }
 
 void scheduler_host::schedule_tick()
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -178,10 +178,10 @@
     handled_events handled;
     common::steady_time tick_due; ///< when the pending tick should run
     common::steady_time next_lag_report;
-    common::milliseconds max_lag{0}; ///< since the metrics were last read
+    common::milliseconds max_lag{0};        ///< since the metrics were last read
     common::steady_time input_requested_at; ///< when the latest read of the input was sent
-    std::map<std::size_t, std::int64_t> journal_revisions;          ///< of the heads, by lane
-    std::map<std::size_t, pending_journal_write> pending_writes;    ///< by lane
+    std::map<std::size_t, std::int64_t> journal_revisions;       ///< of the heads, by lane
+    std::map<std::size_t, pending_journal_write> pending_writes; ///< by lane
     std::string purge_cursor; ///< the purge continues after this key
     common::steady_time next_purge;
     bool resigning = false;
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -174,8 +174,8 @@
     const std::string head = store_keys::journal_head(order.lane);
     store::transaction& changes = pending.changes;
     // The claim's creation revision fences out a deposed owner. The lane's head serializes this
-    // owner's own writes in it, so that a write whose response was lost cannot take effect after a later
-    // one.
+    // owner's own writes in it, so that a write whose response was lost cannot take effect after a
+    // later one.
     changes.expected.push_back({std::string(store_keys::claim), this->token});
     changes.expected.push_back({head, this->journal_revisions[order.lane]});
     changes.set.push_back({head, pending.head_value, 0});
@@ -215,8 +215,8 @@
             {{"error", outcome.error().to_string()}, {"batch", pending.batch}});
         auto retry = std::make_shared<boost::asio::steady_timer>(this->dependencies.context,
                                                                  journal_retry_delay);
-        retry->async_wait(this->bind_to_claim(
-            [this, retry, lane](const boost::system::error_code&) {
+        retry->async_wait(
+            this->bind_to_claim([this, retry, lane](const boost::system::error_code&) {
                 this->send_journal_write(lane);
             }));
         return;
--- a/src/daemon/scheduler_host_takeover.cpp
+++ b/src/daemon/scheduler_host_takeover.cpp
@@ -108,7 +108,9 @@
     hooks.on_change = [this](const store::item_map& items, std::int64_t) {
         this->handle_input(items);
     };
-    hooks.on_request = [this] { this->input_requested_at = this->now(); };
+    hooks.on_request = [this] {
+        this->input_requested_at = this->now();
+    };
     hooks.on_contact = [this] {
         if (this->scheduler) {
             this->scheduler->confirm_input(this->input_requested_at);
@@ -149,8 +151,9 @@
 
 void scheduler_host::finish_takeover_if_ready()
 {
-    if (!this->takeover || this->takeover->heads_read < this->lane_count() || !this->takeover->progress_read ||
-        !this->takeover->input_read || !this->worker_entries_read || !this->configuration) {
+    if (!this->takeover || this->takeover->heads_read < this->lane_count() ||
+        !this->takeover->progress_read || !this->takeover->input_read ||
+        !this->worker_entries_read || !this->configuration) {
         return;
     }
     const auto read = std::move(this->takeover);
--- a/src/daemon/store_keys.h
+++ b/src/daemon/store_keys.h
@@ -5,7 +5,7 @@
 /// Keys of the persistent state in the store. All writes are conditional transactions.
 namespace chervilslip::daemon::store_keys {
 
-inline constexpr std::string_view claim = "chervilslip/claim";   ///< bound to the owner's lease
+inline constexpr std::string_view claim = "chervilslip/claim"; ///< bound to the owner's lease
 /// Head of the first journal lane. A head serializes the owner's writes of its lane.
 inline constexpr std::string_view journal = "chervilslip/chain";
 inline constexpr std::string_view input = "chervilslip/in/"; ///< written by nodes that accept jobs
--- a/src/daemon/worker_relay.cpp
+++ b/src/daemon/worker_relay.cpp
@@ -98,8 +98,7 @@
 const std::string& worker_relay::peer_for(const std::string& worker)
 {
     static const std::string this_node;
-    if (this->zone_of_worker.size() <= this->options.max_direct_workers ||
-        this->peers.empty()) {
+    if (this->zone_of_worker.size() <= this->options.max_direct_workers || this->peers.empty()) {
         return this_node;
     }
     const auto now = this->clock.steady_now();
--- a/src/membership/messages.cpp
+++ b/src/membership/messages.cpp
@@ -84,8 +84,8 @@
 
 heartbeat read_heartbeat(const msgpack_row& source)
 {
-    heartbeat value{source.get<std::int64_t>(1), source.get<std::string>(2), {},
-                    source.get<bool>(4)};
+    heartbeat value{
+        source.get<std::int64_t>(1), source.get<std::string>(2), {}, source.get<bool>(4)};
     const auto running = source.get<std::map<std::string, std::vector<std::int64_t>>>(3);
     for (const auto& [team, amounts] : running) {
         value.running[team] = {amounts.at(0), amounts.at(1), amounts.at(2), amounts.at(3)};
--- a/src/membership/peer_network.cpp
+++ b/src/membership/peer_network.cpp
@@ -126,9 +126,9 @@
     void read_some()
     {
         this->socket.async_read_some(
-            asio::buffer(this->chunk), [self = this->shared_from_this()](
-                                           const boost::system::error_code& failure,
-                                           std::size_t size) {
+            asio::buffer(this->chunk),
+            [self = this->shared_from_this()](const boost::system::error_code& failure,
+                                              std::size_t size) {
                 if (self->end_on_failure(failure)) {
                     return;
                 }
--- a/src/scheduling/command_codec.cpp
+++ b/src/scheduling/command_codec.cpp
@@ -60,8 +60,7 @@
 /// Writes commands as rows: the common header, then the fields of the kind.
 class command_writer {
 public:
-    command_writer(msgpack_writer& target, const payload_table& table)
-        : to(target), payloads(table)
+    command_writer(msgpack_writer& target, const payload_table& table) : to(target), payloads(table)
     {
     }
 
@@ -138,18 +137,17 @@
         return {number, std::move(command)};
     }
     case command_kind::start:
-        return {number, start_command{worker, address, read_task(row.at(5)),
-                                      row.get<std::int64_t>(6),
-                                      payloads.get<std::string>(row.get<std::size_t>(7)),
-                                      row.get<std::int64_t>(8), row.get<std::string>(9),
-                                      row.get<std::string>(10)}};
+        return {number,
+                start_command{worker, address, read_task(row.at(5)), row.get<std::int64_t>(6),
+                              payloads.get<std::string>(row.get<std::size_t>(7)),
+                              row.get<std::int64_t>(8), row.get<std::string>(9),
+                              row.get<std::string>(10)}};
     case command_kind::stop:
         return {number,
                 stop_command{worker, address, read_task(row.at(5)), row.get<std::int64_t>(6)}};
     case command_kind::throttle:
-        return {number,
-                throttle_command{worker, address, read_task(row.at(5)), row.get<std::int64_t>(6),
-                                 row.get<std::int64_t>(7)}};
+        return {number, throttle_command{worker, address, read_task(row.at(5)),
+                                         row.get<std::int64_t>(6), row.get<std::int64_t>(7)}};
     }
     throw std::invalid_argument("unknown command kind");
 }
@@ -193,10 +191,9 @@
     report.finished.reserve(finished.size());
     finished.for_each([&report](const msgpack::object& each) {
         const msgpack_row row(each);
-        report.finished.push_back({row.get<std::int64_t>(0), read_task(row.at(1)),
-                                   row.get<std::int64_t>(2),
-                                   static_cast<end_cause>(row.get<int>(3)),
-                                   row.get<std::string>(4)});
+        report.finished.push_back(
+            {row.get<std::int64_t>(0), read_task(row.at(1)), row.get<std::int64_t>(2),
+             static_cast<end_cause>(row.get<int>(3)), row.get<std::string>(4)});
     });
     return report;
 }
--- a/src/scheduling/progress.cpp
+++ b/src/scheduling/progress.cpp
@@ -96,9 +96,8 @@
                 auto& occurrence = value.tasks.emplace_back();
                 msgpack_row(steps).for_each([&occurrence](const msgpack::object& tasks) {
                     auto& step = occurrence.emplace_back();
-                    msgpack_row(tasks).for_each([&step](const msgpack::object& each) {
-                        step.push_back(read_task(each));
-                    });
+                    msgpack_row(tasks).for_each(
+                        [&step](const msgpack::object& each) { step.push_back(read_task(each)); });
                 });
             });
             return value;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -161,7 +161,7 @@
         std::int64_t starts = 0;
         std::int64_t failed = 0;
         std::int64_t lost = 0;
-        std::int64_t refused = 0;              ///< starts that workers rejected
+        std::int64_t refused = 0;               ///< starts that workers rejected
         std::optional<std::int64_t> started_ms; ///< Unix time of the first start
     };
 
@@ -172,6 +172,7 @@
         struct critical_paths {
             common::milliseconds total{0};
             common::milliseconds remaining{0}; ///< of the latest occurrence that is due
+            std::int64_t remaining_steps = 0;  ///< of that occurrence
             std::int64_t occurrence = 0;
             common::steady_time valid_until;
         };
@@ -276,7 +277,7 @@
     scheduler_options options;
     policy current_policy;
     worker_map workers;
-    std::uint64_t last_listing = 0; ///< number of the latest worker registry
+    std::uint64_t last_listing = 0;            ///< number of the latest worker registry
     std::optional<pool_index> workers_by_pool; ///< unset after a change of the workers
     std::unordered_map<std::string, active_job> jobs_by_id;
     std::unordered_map<std::string, jobs::job_state> closed_states;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -33,6 +33,21 @@
 /// A ticket is not used within this time before its expiry.
 constexpr common::milliseconds ticket_expiry_margin{300};
 
+/// Groups of the dispatch order. Load pattern: a turn of demand beyond a pool's size. Jobs with the
+/// least slack first would all start when their slack is used up, and all end late. So jobs that
+/// will probably be in time go first, and the others wait for the capacity that these leave.
+enum dispatch_group { long_running, likely_in_time, perhaps_in_time, late, too_late };
+
+/// A job that has not begun needs this share of its path, and this time for each step, as a margin:
+/// run times are estimates, a step ends with its slowest task, and starts and ends take time to
+/// store and to report.
+constexpr double estimate_error_share = 0.35;
+constexpr common::milliseconds step_overhead{120};
+
+/// A job that has begun may exceed its objective by this share of its remaining path and still be
+/// expected to be in time, because its run times are estimates.
+constexpr double begun_overrun_share = 0.25;
+
 /// A job earns no credit after this multiple of its latency objective.
 constexpr double credit_cutoff_factor = 3.0;
 
@@ -50,7 +65,7 @@
 {
     const jobs::queue_policy& queue = this->policy_of(job);
     if (job.spec.is_long_running()) {
-        return {0, queue.priority, static_cast<double>(job.spec.accepted_ms)};
+        return {long_running, queue.priority, static_cast<double>(job.spec.accepted_ms)};
     }
     this->refresh_paths(job, unix_ms);
     const auto total_path = static_cast<double>(job.paths.total.count());
@@ -58,11 +73,20 @@
     const auto age = static_cast<double>(unix_ms - job.spec.due_ms(job.paths.occurrence));
     const auto remaining = static_cast<double>(job.paths.remaining.count());
     const double slack = objective - age - remaining;
+    // Begun jobs go on as long as they may still be in time, because what has run would be wasted.
+    const bool has_begun = job.history.starts > 0 || job.progress.state == jobs::job_state::running;
+    const double margin =
+        has_begun ? -begun_overrun_share * remaining
+                  : estimate_error_share * remaining +
+                        static_cast<double>(job.paths.remaining_steps * step_overhead.count());
+    if (slack >= margin) {
+        return {likely_in_time, queue.priority, slack};
+    }
     if (slack >= 0) {
-        return {1, queue.priority, slack};
+        return {perhaps_in_time, queue.priority, -slack};
     }
     const bool earns_credit = credit_cutoff_factor * objective - age - remaining > 0;
-    return {earns_credit ? 2 : 3, queue.priority, slack};
+    return {earns_credit ? late : too_late, queue.priority, slack};
 }
 
 void scheduler::refresh_paths(active_job& job, std::int64_t unix_ms) const
@@ -74,8 +98,13 @@
     while (occurrence + 1 < job.spec.occurrences() && job.spec.due_ms(occurrence + 1) <= unix_ms) {
         ++occurrence;
     }
+    const auto& counts = job.counts.at(static_cast<std::size_t>(occurrence));
+    std::int64_t remaining_steps = 0;
+    for (std::size_t s = 0; s < counts.size(); ++s) {
+        remaining_steps += counts[s].done < job.spec.steps[s].count ? 1 : 0;
+    }
     job.paths = {this->critical_path(job), this->remaining_critical_path(job, occurrence),
-                 occurrence, this->last_now + path_refresh_interval};
+                 remaining_steps, occurrence, this->last_now + path_refresh_interval};
 }
 
 common::milliseconds scheduler::critical_path(const active_job& job) const
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -209,8 +209,7 @@
         // The run was given up before, or its job is closed. Nothing depends on the end any more,
         // so it may be acknowledged at once unless the job still has unwritten changes.
         const bool has_unwritten_changes =
-            job != nullptr &&
-            this->lane_of(finished.task.job).changed.contains(finished.task.job);
+            job != nullptr && this->lane_of(finished.task.job).changed.contains(finished.task.job);
         this->add_pending_end(worker, finished, !has_unwritten_changes);
         return;
     }
@@ -305,9 +304,8 @@
         worker->second.used -= freed;
         worker->second.idle_since = this->last_now;
     }
-    std::erase_if(
-        this->lane_of(task.job).planned_starts,
-        [&task](const journal_lane::planned_start& each) { return each.first == task; });
+    std::erase_if(this->lane_of(task.job).planned_starts,
+                  [&task](const journal_lane::planned_start& each) { return each.first == task; });
     this->open_runs.erase(run);
     this->dispatch_due = true;
 }
--- a/src/scheduling/tests/scheduler_fixture.h
+++ b/src/scheduling/tests/scheduler_fixture.h
@@ -60,8 +60,7 @@
 public:
     explicit scheduler_fixture(std::vector<worker_entry> entries = {make_worker("w1"),
                                                                     make_worker("w2")},
-                               std::vector<stored_job> stored = {},
-                               scheduler_options options = {})
+                               std::vector<stored_job> stored = {}, scheduler_options options = {})
         : under_test(options), listed(std::move(entries))
     {
         policy rules;
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -21,10 +21,10 @@
 /// The owner's view of one worker instance.
 struct worker_state {
     worker_entry entry;
-    bool listed = true;      ///< present in the registry
+    bool listed = true;        ///< present in the registry
     std::uint64_t listing = 0; ///< the latest listing that contained it
-    bool token_seen = false; ///< has answered a poll with this owner's token
-    bool cordoned = false;   ///< gets no new tasks; its VM is about to be moved or serviced
+    bool token_seen = false;   ///< has answered a poll with this owner's token
+    bool cordoned = false;     ///< gets no new tasks; its VM is about to be moved or serviced
 
     bool poll_in_flight = false;
     common::steady_time poll_sent_at;
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -68,8 +68,8 @@
         std::unique_ptr<scheduling::scheduler> scheduler;
         std::int64_t token = 0;
         std::int64_t authority_until = 0;
-        std::map<std::size_t, std::int64_t> journal_revisions;       ///< by lane
-        std::map<std::size_t, scheduling::journal_write> writing;    ///< by lane
+        std::map<std::size_t, std::int64_t> journal_revisions;    ///< by lane
+        std::map<std::size_t, scheduling::journal_write> writing; ///< by lane
         bool gone = false;
     };
 
