--- a/src/daemon/worker_relay.cpp
+++ b/src/daemon/worker_relay.cpp
@@ -27,6 +27,13 @@
     return call;
 }
 
+/// Orders peers by a hash of their names and a salt (rendezvous hashing), so that the loss of one
+/// moves only what it held.
+std::size_t rendezvous_rank(const std::string& peer, const std::string& salt)
+{
+    return std::hash<std::string>{}(salt + peer);
+}
+
 } // namespace
 
 worker_relay::worker_relay(boost::asio::io_context& io, const common::clock& time_source,
@@ -117,17 +124,6 @@
     return found->second;
 }
 
-namespace {
-
-/// Orders peers by a hash of their names and a salt (rendezvous hashing), so that the loss of one
-/// moves only what it held.
-std::size_t rendezvous_rank(const std::string& peer, const std::string& salt)
-{
-    return std::hash<std::string>{}(salt + peer);
-}
-
-} // namespace
-
 void worker_relay::choose_relays()
 {
     std::map<std::string, std::size_t> workers_in_zone;
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -6,6 +6,18 @@
 
 namespace chervilslip::scheduling {
 
+namespace {
+
+/// Reports of workers may name any task.
+bool has_task(const jobs::job& job, const jobs::task_id& task)
+{
+    return task.occurrence >= 0 && task.occurrence < job.occurrences() &&
+           task.step < job.steps.size() && task.index >= 0 &&
+           task.index < job.steps[task.step].count;
+}
+
+} // namespace
+
 scheduler::active_job* scheduler::find_job(const std::string& id)
 {
     const auto found = this->jobs_by_id.find(id);
@@ -177,18 +189,6 @@
     return longest;
 }
 
-namespace {
-
-/// Reports of workers may name any task.
-bool has_task(const jobs::job& job, const jobs::task_id& task)
-{
-    return task.occurrence >= 0 && task.occurrence < job.occurrences() &&
-           task.step < job.steps.size() && task.index >= 0 &&
-           task.index < job.steps[task.step].count;
-}
-
-} // namespace
-
 void scheduler::handle_finished_run(worker_state& worker, const finished_run& finished,
                                     common::steady_time now)
 {
