Ignore notifications of jobs that are older than the owner's input

Cause: the node that accepts a job notifies the owner of that moment, and the notification says nothing of its age. If the node was paused or its link cut, it arrives seconds later. An owner remembers the jobs that it has closed itself, but its successor reads open jobs only, so it took a job that an earlier owner had closed for a new one and started it. A late notification of a cancellation was kept, likewise, for a later job of the same id.

Change: a notification carries the store revision at which the job or cancellation was written, and the scheduler ignores those up to the revision that it has read the input to, and up to the revision of a purge. Below that revision the stored input alone tells whether a job is open: only an earlier owner can have removed it, and its writes ended before the new claim was created.

--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "daemon/notification_target.h"
 #include "jobs/job_codec.h"
 #include "net/http_status.h"
 
@@ -219,14 +220,15 @@
         return reply;
     }
     reply.status = net::status_ok;
-    if (call.target == job_target) {
+    const notification_target target = parse_target(call.target);
+    if (target.path == job_target) {
         const auto job = jobs::decode_job(call.body, "peer");
         reply.status = job ? net::status_ok : net::status_bad_request;
         if (job) {
-            this->owner_host.handle_job(job.value());
+            this->owner_host.handle_job(job.value(), target.revision);
         }
-    } else if (call.target.starts_with(cancel_target)) {
-        this->owner_host.handle_cancel(call.target.substr(cancel_target.size()));
+    } else if (target.path.starts_with(cancel_target)) {
+        this->owner_host.handle_cancel(target.path.substr(cancel_target.size()), target.revision);
     } else if (call.target.starts_with(state_target)) {
         const auto state = scheduler->state_of(call.target.substr(state_target.size()));
         reply.status = state ? net::status_ok : net::status_not_found;
@@ -255,30 +257,30 @@
                                   std::move(done));
 }
 
-void fleet_node::notify_job(const jobs::job& accepted)
+void fleet_node::notify_job(const jobs::job& accepted, std::int64_t revision)
 {
     if (this->owner_host.active_scheduler() != nullptr) {
-        this->owner_host.handle_job(accepted);
+        this->owner_host.handle_job(accepted, revision);
         return;
     }
     membership::relay_call call;
     call.method = "POST";
-    call.target = job_target;
+    call.target = encode_target({std::string(job_target), revision});
     call.body = jobs::encode_job(accepted);
     this->call_owner(std::move(call), [](common::result<membership::relay_response>) {
         // A lost notification only adds delay: the owner also watches the store.
     });
 }
 
-void fleet_node::notify_cancel(const std::string& id)
+void fleet_node::notify_cancel(const std::string& id, std::int64_t revision)
 {
     if (this->owner_host.active_scheduler() != nullptr) {
-        this->owner_host.handle_cancel(id);
+        this->owner_host.handle_cancel(id, revision);
         return;
     }
     membership::relay_call call;
     call.method = "POST";
-    call.target = make_target(cancel_target, id);
+    call.target = encode_target({make_target(cancel_target, id), revision});
     this->call_owner(std::move(call), [](common::result<membership::relay_response>) {
         // A lost notification only adds delay: the owner also watches the store.
     });
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -82,8 +82,8 @@
     void handle_message(const membership::member& peer, const membership::message& value,
                         const membership::response_sender& answer);
 
-    void notify_job(const jobs::job& accepted) override;
-    void notify_cancel(const std::string& id) override;
+    void notify_job(const jobs::job& accepted, std::int64_t revision) override;
+    void notify_cancel(const std::string& id, std::int64_t revision) override;
     void query_state(const std::string& id,
                      store::handler<std::optional<jobs::job_state>> done) override;
     void query_waiting(const std::string& queue, store::handler<std::int64_t> done) override;
--- a/src/daemon/job_frontend.cpp
+++ b/src/daemon/job_frontend.cpp
@@ -107,7 +107,7 @@
     }
     if (outcome.value().committed) {
         for (pending_job& each : batch) {
-            this->owner.notify_job(each.job);
+            this->owner.notify_job(each.job, outcome.value().revision);
             this->complete(each, job_call_result::accepted);
         }
         return;
@@ -190,7 +190,7 @@
                 }
                 // If not committed, the job was closed in the meantime: nothing is left to cancel.
                 if (outcome.value().committed) {
-                    this->owner.notify_cancel(id);
+                    this->owner.notify_cancel(id, outcome.value().revision);
                 }
                 finish(job_call_result::accepted);
             });
--- a/src/daemon/job_frontend.h
+++ b/src/daemon/job_frontend.h
@@ -29,9 +29,10 @@
     owner_client& operator=(const owner_client&) = delete;
     virtual ~owner_client() = default;
 
-    /// Notifies the owner of an accepted job or cancellation. A lost notification only adds delay.
-    virtual void notify_job(const jobs::job& accepted) = 0;
-    virtual void notify_cancel(const std::string& id) = 0;
+    /// Notifies the owner of an accepted job or cancellation that was written at a revision of the
+    /// store. A lost notification only adds delay.
+    virtual void notify_job(const jobs::job& accepted, std::int64_t revision) = 0;
+    virtual void notify_cancel(const std::string& id, std::int64_t revision) = 0;
 
     /// Queries the owner for a job's state; empty when the owner does not know the job. Fails when
     /// no owner responds.
--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -349,20 +349,19 @@
     this->dependencies.registry.unsubscribe();
 }
 
-void scheduler_host::handle_job(const jobs::job& accepted)
+void scheduler_host::handle_job(const jobs::job& accepted, std::int64_t revision)
 {
-    if (this->scheduler) {
+    if (this->scheduler &&
+        this->scheduler->handle_job_notification(accepted, revision, this->now())) {
         this->known_input_keys.insert(store_keys::make_key(store_keys::jobs, accepted.id));
         ++this->handled.jobs;
-        this->scheduler->submit_job(accepted, this->now());
         this->react();
     }
 }
 
-void scheduler_host::handle_cancel(const std::string& id)
+void scheduler_host::handle_cancel(const std::string& id, std::int64_t revision)
 {
-    if (this->scheduler) {
-        this->scheduler->cancel_job(id, this->now());
+    if (this->scheduler && this->scheduler->handle_cancel_notification(id, revision, this->now())) {
         this->react();
     }
 }
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -74,10 +74,10 @@
     /// Returns by how much the owner's timer was late at most since the last call.
     common::milliseconds take_lag();
 
-    /// Passes a durable job or cancellation to the scheduler. Does nothing unless this node owns
-    /// the fleet.
-    void handle_job(const jobs::job& accepted);
-    void handle_cancel(const std::string& id);
+    /// Passes a notified job or cancellation, written at a revision of the store, to the scheduler.
+    /// Does nothing unless this node owns the fleet.
+    void handle_job(const jobs::job& accepted, std::int64_t revision);
+    void handle_cancel(const std::string& id, std::int64_t revision);
 
 private:
     /// Delay before a failed read of the claim, or during a takeover, is retried.
@@ -89,6 +89,7 @@
         bool progress_read = false;
         bool input_read = false;
         store::item_map input;
+        std::int64_t input_revision = 0;
         std::map<std::string, scheduling::job_progress> progress;
     };
 
@@ -115,7 +116,7 @@
     [[nodiscard]] std::size_t lane_count() const;
     void read_progress(const std::string& after);
     void follow_input();
-    void handle_input(const store::item_map& items);
+    void handle_input(const store::item_map& items, std::int64_t revision);
     void finish_takeover_if_ready();
     void discard_scheduler();
 
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -94,6 +94,7 @@
             if (!outcome || !outcome.value().committed) {
                 return; // a later purge finds them again
             }
+            this->scheduler->ignore_notifications_until(outcome.value().revision);
             for (const std::string& key : keys) {
                 this->scheduler->forget_closed_job(key.substr(store_keys::closed.size()));
             }
--- a/src/daemon/scheduler_host_takeover.cpp
+++ b/src/daemon/scheduler_host_takeover.cpp
@@ -105,8 +105,8 @@
 void scheduler_host::follow_input()
 {
     store::follower_callbacks hooks;
-    hooks.on_change = [this](const store::item_map& items, std::int64_t) {
-        this->handle_input(items);
+    hooks.on_change = [this](const store::item_map& items, std::int64_t revision) {
+        this->handle_input(items, revision);
     };
     hooks.on_request = [this] {
         this->input_requested_at = this->now();
@@ -122,10 +122,11 @@
     this->input_follower->start();
 }
 
-void scheduler_host::handle_input(const store::item_map& items)
+void scheduler_host::handle_input(const store::item_map& items, std::int64_t revision)
 {
     if (this->takeover) {
         this->takeover->input = items;
+        this->takeover->input_revision = revision;
         this->takeover->input_read = true;
         this->finish_takeover_if_ready();
         return;
@@ -146,6 +147,7 @@
             }
         }
     }
+    this->scheduler->ignore_notifications_until(revision);
     this->execute_actions();
 }
 
@@ -188,6 +190,7 @@
     this->scheduler->configure(this->configuration->policy);
     this->scheduler->extend_authority(this->ownership_claim.authority_until());
     this->scheduler->restore(std::move(stored), this->claimed_at);
+    this->scheduler->ignore_notifications_until(read->input_revision);
     this->scheduler->update_workers(this->worker_entries, this->now());
     this->controller = std::make_unique<fleet_controller>(
         fleet_controller_dependencies{
--- a/src/daemon/tests/job_frontend_tests.cpp
+++ b/src/daemon/tests/job_frontend_tests.cpp
@@ -59,13 +59,15 @@
 /// Counts the notifications.
 class fake_owner_client final : public daemon::owner_client {
 public:
-    void notify_job(const jobs::job&) override
+    void notify_job(const jobs::job&, std::int64_t revision) override
     {
         ++this->notifications;
+        this->notified_revision = revision;
     }
 
-    void notify_cancel(const std::string&) override
+    void notify_cancel(const std::string&, std::int64_t revision) override
     {
+        this->notified_revision = revision;
     }
 
     void query_state(const std::string&, store::handler<std::optional<jobs::job_state>>) override
@@ -77,6 +79,7 @@
     }
 
     int notifications = 0;
+    std::int64_t notified_revision = 0; ///< of the latest notification
 };
 
 struct frontend_fixture {
@@ -118,6 +121,18 @@
     cr_assert(fixture.frontend.open_calls() == 0);
 }
 
+Test(job_frontend, a_notification_carries_the_revision_of_the_write)
+{
+    // given
+    frontend_fixture fixture;
+
+    // when, then
+    cr_assert(fixture.submit_job("j1") == job_call_result::accepted);
+    cr_assert(fixture.owner.notified_revision == fixture.store.items.revision());
+    fixture.frontend.cancel("j1", [](job_call_result) {});
+    cr_assert(fixture.owner.notified_revision == fixture.store.items.revision());
+}
+
 Test(job_frontend, nothing_is_sent_while_the_store_is_unreachable)
 {
     // given
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -107,6 +107,33 @@
     this->input_confirmed_at = std::max(this->input_confirmed_at, as_of);
 }
 
+bool scheduler::handle_job_notification(const jobs::job& accepted, std::int64_t revision,
+                                        common::steady_time now)
+{
+    // Closed jobs of earlier owners are not known, so only the stored input tells whether an older
+    // job is still open.
+    if (revision <= this->newest_stale_revision) {
+        return false;
+    }
+    this->submit_job(accepted, now);
+    return true;
+}
+
+bool scheduler::handle_cancel_notification(const std::string& id, std::int64_t revision,
+                                           common::steady_time now)
+{
+    if (revision <= this->newest_stale_revision) {
+        return false;
+    }
+    this->cancel_job(id, now);
+    return true;
+}
+
+void scheduler::ignore_notifications_until(std::int64_t revision)
+{
+    this->newest_stale_revision = std::max(this->newest_stale_revision, revision);
+}
+
 bool scheduler::may_start(common::steady_time now) const
 {
     const auto& limit = this->options.max_input_age;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -71,6 +71,20 @@
     /// submitted.
     void cancel_job(const std::string& id, common::steady_time now);
 
+    /// Adds a job that the node which accepted it reports directly; `revision` is that of the
+    /// store at which the job was written. Returns false if the report is too old to be used: the
+    /// job may have been closed since.
+    bool handle_job_notification(const jobs::job& accepted, std::int64_t revision,
+                                 common::steady_time now);
+
+    /// Applies a cancellation that a node reports directly. Returns false if the report is too old.
+    bool handle_cancel_notification(const std::string& id, std::int64_t revision,
+                                    common::steady_time now);
+
+    /// Ignores notifications of jobs and cancellations written up to this revision. Precondition:
+    /// those that are still stored have been passed on, or will be.
+    void ignore_notifications_until(std::int64_t revision);
+
     void handle_poll_result(const poll_result& answer, common::steady_time now);
     void handle_start_result(const command_result& answer, common::steady_time now);
     void handle_stop_result(const command_result& answer, common::steady_time now);
@@ -288,6 +302,7 @@
     std::uint64_t next_batch = 1;
     common::steady_time authority_until;
     common::steady_time input_confirmed_at;
+    std::int64_t newest_stale_revision = 0; ///< notifications up to it are ignored
     common::steady_time last_now;
     /// Stops of an earlier owner have taken effect by this time.
     common::steady_time earlier_stops_until;
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -415,4 +415,69 @@
     cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::running);
 }
 
+Test(scheduler_recovery, a_late_notification_of_a_closed_job_starts_nothing)
+{
+    // given a new owner: an earlier one has closed j1, written at revision 40, and j2 is open
+    scheduler_fixture fixture({make_worker("w1")}, {{make_job("j2"), std::nullopt, false}});
+    fixture.under_test.ignore_notifications_until(50);
+    fixture.answer_first_polls();
+    fixture.advance(200);
+    cr_assert(fixture.starts.size() == 1);
+
+    // when
+    const bool used = fixture.under_test.handle_job_notification(make_job("j1"), 40, fixture.now());
+    fixture.advance(400);
+
+    // then
+    cr_assert(fixture.starts.size() == 1, "%s was started", fixture.starts.back().task.job.c_str());
+    cr_assert(!used);
+    cr_assert(!fixture.under_test.state_of("j1"));
+
+    // when a job is newer than the input that was read
+    cr_assert(fixture.under_test.handle_job_notification(make_job("j3"), 51, fixture.now()));
+    fixture.advance(600);
+
+    // then
+    cr_assert(fixture.starts.size() == 2);
+    cr_assert(fixture.starts.back().task.job == "j3");
+}
+
+Test(scheduler_recovery, a_late_notification_of_a_cancellation_does_not_cancel_a_later_job)
+{
+    // given a closed job whose id has become free
+    scheduler_fixture fixture({make_worker("w1")});
+    fixture.under_test.ignore_notifications_until(50);
+    fixture.answer_first_polls();
+
+    // when
+    fixture.under_test.handle_cancel_notification("j1", 45, fixture.now());
+    cr_assert(fixture.under_test.handle_job_notification(make_job("j1"), 60, fixture.now()));
+    fixture.advance(200);
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+
+    // when
+    cr_assert(fixture.under_test.handle_cancel_notification("j1", 61, fixture.now()));
+    fixture.answer_start(fixture.starts[0], command_outcome::accepted);
+
+    // then
+    cr_assert(fixture.stops.size() == 1);
+}
+
+Test(scheduler_recovery, a_notification_without_a_revision_is_left_to_the_stored_input)
+{
+    // given a new owner, and a node of an earlier version
+    scheduler_fixture fixture({make_worker("w1")});
+    fixture.under_test.ignore_notifications_until(50);
+    fixture.answer_first_polls();
+
+    // when
+    cr_assert(!fixture.under_test.handle_job_notification(make_job("j1"), 0, fixture.now()));
+    fixture.submit_job(make_job("j1"));
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+}
+
 } // namespace
