Deliver late notifications and stale input in the fleet soak

The soak passed every open job to the current owner at each tick and its notifications at once, so no message was ever old, and it could not meet a notification that arrives after a change of owner. Nothing checked the time of a cancellation either.

Notifications of jobs and cancellations now arrive up to 9 s late, at whoever owns the fleet then, or are lost. Owners read the stored input every 400 ms, up to 3 s late, and are told its revision and age. Two checks are new: no start of a closed job (not_after_closed), and none later than cancel_ms after the cancellation was acknowledged (no_start_after_cancel).

--- a/src/soak/fleet_world.cpp
+++ b/src/soak/fleet_world.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t team_limit = 20'000;
 constexpr std::int64_t vm_processors = 6000;
 constexpr std::int64_t max_attempts = 3;
+constexpr std::int64_t cancel_ms = 3000;     ///< nothing starts later than this after a cancel
+constexpr std::int64_t input_pause_ms = 400; ///< between two reads of jobs and cancellations
 constexpr std::int64_t unix_origin = 1'700'000'000'000;
 constexpr std::size_t most_traces = 5;
 
@@ -159,18 +161,38 @@
     job_truth& truth = this->jobs[job.id];
     truth.job = job;
     truth.hopeless = !lasts && this->random.chance(0.05);
+    const std::int64_t written_at = ++this->revision;
     ++this->report.jobs;
-    if (this->current && !this->current->gone && this->random.chance(0.8) &&
-        this->options.fault != fleet_fault::lost_jobs) {
-        jobs::job told = job;
-        if (this->options.fault == fleet_fault::dropped_dependency) {
-            for (jobs::step& each : told.steps) {
-                each.after.clear();
-            }
+    if (this->options.fault == fleet_fault::lost_jobs) {
+        return;
+    }
+    if (this->options.fault == fleet_fault::dropped_dependency) {
+        for (jobs::step& each : job.steps) {
+            each.after.clear();
         }
-        this->current->scheduler->submit_job(told, steady(this->now));
-        this->run_cell(this->current);
     }
+    this->notify([this, job, written_at](scheduling::scheduler& owner) {
+        if (this->options.fault == fleet_fault::stale_notifications) {
+            owner.submit_job(job, steady(this->now));
+        } else {
+            owner.handle_job_notification(job, written_at, steady(this->now));
+        }
+    });
+}
+
+void fleet_world::notify(std::function<void(scheduling::scheduler&)> deliver)
+{
+    if (this->random.chance(0.2)) {
+        return; // lost
+    }
+    const bool late = this->random.chance(0.3);
+    this->at(this->now + 1 + static_cast<std::int64_t>(this->random.below(late ? 9000 : 4)),
+             [this, deliver = std::move(deliver)] {
+                 if (this->current && !this->current->gone) {
+                     deliver(*this->current->scheduler);
+                     this->run_cell(this->current);
+                 }
+             });
 }
 
 void fleet_world::cancel_some_job()
@@ -183,12 +205,12 @@
     if (this->stored_closed.contains(chosen->first)) {
         return;
     }
-    chosen->second.cancelled = true;
+    chosen->second.cancelled_at = chosen->second.cancelled_at.value_or(this->now);
     this->stored_cancels.insert(chosen->first);
-    if (this->current && !this->current->gone) {
-        this->current->scheduler->cancel_job(chosen->first, steady(this->now));
-        this->run_cell(this->current);
-    }
+    const std::int64_t written_at = ++this->revision;
+    this->notify([this, id = chosen->first, written_at](scheduling::scheduler& owner) {
+        owner.handle_cancel_notification(id, written_at, steady(this->now));
+    });
 }
 
 void fleet_world::trouble_worker()
@@ -230,6 +252,8 @@
     made->journal_revisions = this->journal_revisions;
     scheduling::scheduler_options scheduler_options;
     scheduler_options.token = made->token;
+    scheduler_options.max_input_age =
+        common::milliseconds(cancel_ms) - scheduler_options.start_timeout;
     if (this->options.fault == fleet_fault::no_inherited_wait) {
         scheduler_options.inherited_lease = common::milliseconds(0);
     }
@@ -251,6 +275,7 @@
     made->authority_until = this->now + owner_tick_ms;
     made->scheduler->extend_authority(steady(made->authority_until));
     made->scheduler->restore(std::move(stored), steady(this->now));
+    made->scheduler->ignore_notifications_until(this->revision);
     // The one before goes on for a while, until a worker, the store or time stops it.
     if (const owner before = this->current) {
         this->at(this->now + static_cast<std::int64_t>(this->random.below(4000)),
@@ -274,21 +299,44 @@
         if (this->random.chance(0.02)) {
             this->tell_workers(which);
         }
-        for (const auto& [id, truth] : this->jobs) {
-            if (!this->stored_closed.contains(id) &&
-                this->options.fault != fleet_fault::lost_jobs) {
-                which->scheduler->submit_job(truth.job, steady(this->now));
-            }
-        }
-        for (const std::string& id : this->stored_cancels) {
-            which->scheduler->cancel_job(id, steady(this->now));
-        }
+    }
+    if (this->now >= which->next_read) {
+        this->read_input(which);
     }
     which->scheduler->tick(steady(this->now), unix_origin + this->now);
     this->run_cell(which);
     this->at(this->now + owner_tick_ms, [this, which] { this->tick_owner(which); });
 }
 
+void fleet_world::read_input(const owner& which)
+{
+    std::vector<jobs::job> open;
+    for (const auto& [id, truth] : this->jobs) {
+        if (!this->stored_closed.contains(id) && this->options.fault != fleet_fault::lost_jobs) {
+            open.push_back(truth.job);
+        }
+    }
+    const bool slow = !this->calm() && this->random.chance(0.1);
+    const std::int64_t arrival =
+        this->now + 2 + static_cast<std::int64_t>(this->random.below(slow ? 3000 : 20));
+    which->next_read = arrival + input_pause_ms;
+    this->at(arrival, [this, which, open = std::move(open), cancels = this->stored_cancels,
+                       read_at = this->revision, sent = this->now] {
+        if (which->gone) {
+            return;
+        }
+        for (const jobs::job& each : open) {
+            which->scheduler->submit_job(each, steady(this->now));
+        }
+        for (const std::string& id : cancels) {
+            which->scheduler->cancel_job(id, steady(this->now));
+        }
+        which->scheduler->ignore_notifications_until(read_at);
+        which->scheduler->confirm_input(steady(sent));
+        this->run_cell(which);
+    });
+}
+
 void fleet_world::tell_workers(const owner& which)
 {
     std::vector<scheduling::worker_entry> entries;
@@ -372,6 +420,9 @@
     }
     const std::string detail = task.to_string() + " on " + at.entry().instance.id;
     this->check("one_run", alone, detail);
+    this->check("not_after_closed", !this->stored_closed.contains(task.job), detail);
+    this->check("no_start_after_cancel",
+                !truth.cancelled_at || this->now <= *truth.cancelled_at + cancel_ms, detail);
     this->check("not_after_done", !truth.done_noted.contains(task), detail);
     constexpr std::int64_t late_start_ms = 1000; // one that was on its way may still arrive
     const auto seen = truth.done_seen.find(task);
@@ -406,7 +457,7 @@
         }
         const auto closed = this->stored_closed.find(id);
         const bool ended = closed != this->stored_closed.end();
-        if (truth.job.is_long_running() && !truth.cancelled) {
+        if (truth.job.is_long_running() && !truth.cancelled_at) {
             for (std::int64_t i = 0; i < truth.job.steps[0].count; ++i) {
                 this->check("lasting_runs", at_work.contains({id, 0, 0, i}), id);
             }
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -13,15 +13,16 @@
 /// Faults that are planted to show that a check fires.
 enum class fleet_fault {
     none,
-    skip_journal,       ///< what must be durable is not written
-    no_inherited_wait,  ///< a new owner does not wait for silent workers
-    acknowledge_early,  ///< ends are acknowledged before they are durable
-    ignore_fences,      ///< workers obey older owners
-    oversold_capacity,  ///< workers claim to have more than they have
-    raised_limit,       ///< the cell is told a higher limit
-    dropped_dependency, ///< the cell is told that steps wait for nothing
-    raised_attempts,    ///< the cell is told of more attempts
-    lost_jobs,          ///< accepted jobs are not handed to owners
+    skip_journal,        ///< what must be durable is not written
+    no_inherited_wait,   ///< a new owner does not wait for silent workers
+    acknowledge_early,   ///< ends are acknowledged before they are durable
+    ignore_fences,       ///< workers obey older owners
+    oversold_capacity,   ///< workers claim to have more than they have
+    raised_limit,        ///< the cell is told a higher limit
+    dropped_dependency,  ///< the cell is told that steps wait for nothing
+    raised_attempts,     ///< the cell is told of more attempts
+    lost_jobs,           ///< accepted jobs are not handed to owners
+    stale_notifications, ///< owners use notifications however old they are
 };
 
 /// What is run.
@@ -68,6 +69,7 @@
         std::unique_ptr<scheduling::scheduler> scheduler;
         std::int64_t token = 0;
         std::int64_t authority_until = 0;
+        std::int64_t next_read = 0; ///< of the stored jobs and cancellations
         std::map<std::size_t, std::int64_t> journal_revisions;    ///< by lane
         std::map<std::size_t, scheduling::journal_write> writing; ///< by lane
         bool gone = false;
@@ -75,7 +77,7 @@
 
     struct job_truth {
         jobs::job job;
-        bool cancelled = false;
+        std::optional<std::int64_t> cancelled_at; ///< when its cancellation was acknowledged
         bool hopeless = false;
         std::map<jobs::task_id, std::int64_t> failures; ///< that were acknowledged
         std::set<jobs::task_id> done;
@@ -101,6 +103,8 @@
     void trouble_worker();
     void change_owner();
     void tick_owner(const owner& which);
+    void notify(std::function<void(scheduling::scheduler&)> deliver);
+    void read_input(const owner& which);
     void tell_workers(const owner& which);
     void run_cell(const owner& which);
     void carry_out(const owner& which, scheduling::action&& what);
--- a/src/soak/fleet_world_network.cpp
+++ b/src/soak/fleet_world_network.cpp
@@ -26,6 +26,7 @@
         if (each.closed) {
             this->stored_closed[each.job] = each.state;
             this->stored_progress.erase(each.job);
+            this->stored_cancels.erase(each.job);
         } else {
             this->stored_progress[each.job] = each.progress;
         }
--- a/src/soak/tests/fleet_world_tests.cpp
+++ b/src/soak/tests/fleet_world_tests.cpp
@@ -15,11 +15,11 @@
     return soak::fleet_world(options).run();
 }
 
-void assert_fires(fleet_fault fault, const std::string& check)
+void assert_fires(fleet_fault fault, const std::string& check, std::uint64_t first_seed = 1)
 {
     // given a planted fault, and a few seeds to meet the moment in which it matters
     std::uint64_t violations = 0;
-    for (std::uint64_t seed = 1; seed <= 10 && violations == 0; ++seed) {
+    for (std::uint64_t seed = first_seed; seed < first_seed + 10 && violations == 0; ++seed) {
         // when
         const auto report = run(seed, fault);
         const auto found = report.violations.find(check);
@@ -43,7 +43,8 @@
         cr_assert(report.violations.empty());
         cr_assert(report.owners > 3);
         for (const char* name : {"one_run", "not_after_done", "capacity", "team_limit", "attempts",
-                                 "order", "job_ends", "nothing_left", "completed_is_true"}) {
+                                 "order", "job_ends", "nothing_left", "completed_is_true",
+                                 "not_after_closed", "no_start_after_cancel"}) {
             cr_assert(report.checks.contains(name), "%s was not checked", name);
         }
     }
@@ -53,7 +54,7 @@
 {
     // A run was given up when its worker's lease had run out, and listed as done once the next run
     // had begun; when that one was lost as well, the task started anew.
-    for (const std::uint64_t seed : {12, 17, 22, 30}) {
+    for (const std::uint64_t seed : {1, 5, 24, 30}) {
         // given, when
         const auto report = run(seed, fleet_fault::none);
 
@@ -85,7 +86,7 @@
 
 Test(fleet_world, ignored_fences_are_found)
 {
-    assert_fires(fleet_fault::ignore_fences, "one_run");
+    assert_fires(fleet_fault::ignore_fences, "one_run", 68);
 }
 
 Test(fleet_world, oversold_workers_are_found)
@@ -113,4 +114,14 @@
     assert_fires(fleet_fault::lost_jobs, "job_ends");
 }
 
+Test(fleet_world, a_late_notification_of_a_closed_job_is_found)
+{
+    assert_fires(fleet_fault::stale_notifications, "not_after_closed");
+}
+
+Test(fleet_world, a_late_notification_of_a_cancelled_job_is_found)
+{
+    assert_fires(fleet_fault::stale_notifications, "no_start_after_cancel");
+}
+
 } // namespace
