Keep a submission from taking effect after its cancellation

What users saw: a worker was told to start a job whose cancellation had been answered with "no such job".

Cause: a write of a submission that got no response may be executed seconds later, and a retry may be under way at another node. A cancellation that found no job was answered 410 and left nothing behind that would stop either.

Change: such a cancellation first stores an entry under the closed prefix, on the condition that neither the job nor a closed entry exists. Every write of a submission requires that there is no such entry, so one of the two fails: either the job is cancelled as usual, or it never comes into being. The entry is shown as 410, a submission that meets it is answered 503 (not accepted, never runs), and it is purged with the closed jobs. If the entry's write is not answered, neither is the cancellation. It costs one write for each cancellation of an unknown job.

Evidence: with the previous answer in place of the entry, the tests a_submission_that_takes_effect_after_its_cancellation_creates_no_job ("items.read("chervilslip/in/job/j1").has_value()") and three others of job_frontend fail (27 tested, 23 passing). With the change: chervilslip_daemon_tests 27 passing.

--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -60,7 +60,7 @@
                   injected.claim, injected.controller_options},
                  {this->identity.name, this->identity.incarnation},
                  this->identity.peer_endpoint.to_string(), seed),
-      client_frontend(injected.store, *this, injected.log,
+      client_frontend(injected.store, *this, injected.clock, injected.log,
                       [this] { return this->dependencies.transport.is_unreachable(); })
 {
     this->owner_host.on_owner_change([this](const ownership::claim_record& owner) {
--- a/src/daemon/job_frontend.cpp
+++ b/src/daemon/job_frontend.cpp
@@ -1,7 +1,5 @@
 #include "daemon/job_frontend.h"
 
-#include <charconv>
-
 #include "daemon/store_keys.h"
 #include "jobs/job_codec.h"
 #include "scheduling/progress.h"
@@ -23,8 +21,9 @@
 } // namespace
 
 job_frontend::job_frontend(store::transactional_store& job_store, owner_client& fleet_owner,
-                           const common::event_log& logger, std::function<bool()> is_lost)
-    : store(job_store), owner(fleet_owner), log(logger), store_lost(std::move(is_lost))
+                           const common::clock& time, const common::event_log& logger,
+                           std::function<bool()> is_lost)
+    : store(job_store), owner(fleet_owner), clock(time), log(logger), store_lost(std::move(is_lost))
 {
 }
 
@@ -120,13 +119,17 @@
     }
     for (pending_job& each : batch) {
         const auto open = present.find(store_keys::make_key(store_keys::jobs, each.job.id));
+        const auto closed = present.find(store_keys::make_key(store_keys::closed, each.job.id));
         if (open != present.end()) {
             const auto stored = jobs::decode_job(open->second->value, open->first);
             const bool same = stored.has_value() && stored.value().team == each.job.team &&
                               stored.value().queue == each.job.queue;
             this->complete(each, same ? job_call_result::accepted : job_call_result::conflict);
-        } else if (present.contains(store_keys::make_key(store_keys::closed, each.job.id))) {
-            this->complete(each, job_call_result::accepted);
+        } else if (closed != present.end()) {
+            const auto stored = parse_closed_job(closed->second->value);
+            const bool withdrawn = stored && stored->withdrawn;
+            this->complete(each,
+                           withdrawn ? job_call_result::withdrawn : job_call_result::accepted);
         } else {
             --each.attempts; // another job failed the batch; this one was not written
             this->queue.push_front(std::move(each));
@@ -163,37 +166,84 @@
         done(call_result);
     };
     const std::string key = store_keys::make_key(store_keys::jobs, id);
-    this->store.read(key, [this, id, key, finish](common::result<std::optional<store::item>> read) {
+    this->store.read(key, [this, id, finish = std::move(finish)](
+                              common::result<std::optional<store::item>> read) {
         if (!read) {
             finish(job_call_result::rejected);
+        } else if (read.value()) {
+            this->store_cancellation(id, read.value()->revision, finish);
+        } else {
+            this->cancel_unless_closed(id, finish);
+        }
+    });
+}
+
+void job_frontend::cancel_unless_closed(const std::string& id, call_result_handler done)
+{
+    this->read_closed(
+        id, [this, id, done = std::move(done)](common::result<std::optional<closed_job>> read) {
+            if (!read) {
+                done(job_call_result::rejected);
+            } else if (read.value()) {
+                done(read.value()->withdrawn ? job_call_result::no_such_job
+                                             : job_call_result::accepted);
+            } else {
+                this->withdraw(id, done);
+            }
+        });
+}
+
+void job_frontend::store_cancellation(const std::string& id, std::int64_t job_revision,
+                                      call_result_handler done)
+{
+    store::transaction changes;
+    changes.expected.push_back({store_keys::make_key(store_keys::jobs, id), job_revision});
+    changes.set.push_back({store_keys::make_key(store_keys::cancels, id), "1", 0});
+    this->store.commit(
+        changes, [this, id, done = std::move(done)](common::result<store::commit_outcome> outcome) {
+            if (!outcome) {
+                done(outcome.error().may_have_been_done() ? job_call_result::unknown
+                                                          : job_call_result::rejected);
+                return;
+            }
+            // If not committed, the job was closed in the meantime: nothing is left to cancel.
+            if (outcome.value().committed) {
+                this->owner.notify_cancel(id, outcome.value().revision);
+            }
+            done(job_call_result::accepted);
+        });
+}
+
+void job_frontend::withdraw(const std::string& id, call_result_handler done)
+{
+    // A write of the submission that got no response may still be executed seconds later, so its
+    // condition is made to fail.
+    const std::string job_key = store_keys::make_key(store_keys::jobs, id);
+    const std::string closed_key = store_keys::make_key(store_keys::closed, id);
+    const closed_job entry{jobs::job_state::cancelled,
+                           common::unix_milliseconds(this->clock.wall_now()), true};
+    store::transaction changes;
+    changes.expected.push_back({job_key, 0});
+    changes.expected.push_back({closed_key, 0});
+    changes.set.push_back({closed_key, encode_closed_job(entry), 0});
+    this->store.commit(changes, [this, id, job_key, done = std::move(done)](
+                                    common::result<store::commit_outcome> outcome) {
+        if (!outcome) {
+            done(outcome.error().may_have_been_done() ? job_call_result::unknown
+                                                      : job_call_result::rejected);
             return;
         }
-        if (!read.value()) {
-            this->read_closed(id, [finish](common::result<std::optional<jobs::job_state>> state) {
-                if (!state) {
-                    finish(job_call_result::rejected);
-                    return;
-                }
-                finish(state.value() ? job_call_result::accepted : job_call_result::no_such_job);
-            });
+        if (outcome.value().committed) {
+            done(job_call_result::no_such_job);
             return;
         }
-        store::transaction changes;
-        changes.expected.push_back({key, read.value()->revision});
-        changes.set.push_back({store_keys::make_key(store_keys::cancels, id), "1", 0});
-        this->store.commit(
-            changes, [this, id, finish](common::result<store::commit_outcome> outcome) {
-                if (!outcome) {
-                    finish(outcome.error().may_have_been_done() ? job_call_result::unknown
-                                                                : job_call_result::rejected);
-                    return;
-                }
-                // If not committed, the job was closed in the meantime: nothing is left to cancel.
-                if (outcome.value().committed) {
-                    this->owner.notify_cancel(id, outcome.value().revision);
-                }
-                finish(job_call_result::accepted);
-            });
+        for (const store::item& each : outcome.value().current) {
+            if (each.key == job_key && each.revision != 0) {
+                this->store_cancellation(id, each.revision, done); // submitted in the meantime
+                return;
+            }
+        }
+        this->cancel_unless_closed(id, done);
     });
 }
 
@@ -223,7 +273,15 @@
                 return;
             }
             if (!job.value()) {
-                this->read_closed(id, std::move(done));
+                this->read_closed(
+                    id, [done = std::move(done)](common::result<std::optional<closed_job>> closed) {
+                        if (!closed) {
+                            done(closed.error());
+                            return;
+                        }
+                        const bool known = closed.value() && !closed.value()->withdrawn;
+                        done(known ? std::optional(closed.value()->state) : std::nullopt);
+                    });
                 return;
             }
             this->store.read(
@@ -248,7 +306,7 @@
 }
 
 void job_frontend::read_closed(const std::string& id,
-                               store::handler<std::optional<jobs::job_state>> done)
+                               store::handler<std::optional<closed_job>> done)
 {
     this->store.read(
         store_keys::make_key(store_keys::closed, id),
@@ -258,17 +316,15 @@
                 return;
             }
             if (!read.value()) {
-                done(std::optional<jobs::job_state>{});
+                done(std::optional<closed_job>{});
                 return;
             }
-            int state = -1;
-            const std::string& text = read.value()->value;
-            std::from_chars(text.data(), text.data() + text.size(), state);
-            if (state < 0 || state > static_cast<int>(jobs::job_state::cancelled)) {
+            const auto entry = parse_closed_job(read.value()->value);
+            if (!entry) {
                 done(make_error(errc::bad_message, "read closed job", id, "not a valid job state"));
                 return;
             }
-            done(std::optional(static_cast<jobs::job_state>(state)));
+            done(entry);
         });
 }
 
--- a/src/daemon/job_frontend.h
+++ b/src/daemon/job_frontend.h
@@ -4,7 +4,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "common/clock.h"
 #include "common/event_log.h"
+#include "daemon/closed_job.h"
 #include "daemon/fleet_configuration.h"
 #include "daemon/peer_client.h"
 #include "jobs/job.h"
@@ -14,10 +16,11 @@
 
 /// Result of a client's call.
 enum class job_call_result {
-    accepted, ///< durable; also when the job had been submitted before
-    conflict, ///< the ID belongs to a job of another team or queue
-    rejected, ///< nothing was written; this call never takes effect
-    unknown,  ///< may have been accepted
+    accepted,  ///< durable; also when the job had been submitted before
+    conflict,  ///< the ID belongs to a job of another team or queue
+    rejected,  ///< nothing was written; this call never takes effect
+    withdrawn, ///< cancelled before it was stored; this call never takes effect
+    unknown,   ///< may have been accepted
     no_such_job,
 };
 
@@ -51,12 +54,14 @@
     /// been sent to the store are rejected then, because the outcome of sending them would be
     /// unknown. Precondition: all references outlive the frontend.
     job_frontend(store::transactional_store& job_store, owner_client& owner,
-                 const common::event_log& log, std::function<bool()> store_lost);
+                 const common::clock& clock, const common::event_log& log,
+                 std::function<bool()> store_lost);
 
     /// Persists a job. Precondition: the job has been validated.
     void submit(jobs::job submitted, std::function<void(job_call_result)> done);
 
-    /// Persists the cancellation of a job.
+    /// Persists the cancellation of a job. If there is no such job, a submission that is still
+    /// under way is kept from taking effect.
     void cancel(const std::string& id, std::function<void(job_call_result)> done);
 
     /// Looks up a job's state; empty when there is no such job. Fails when the state cannot be
@@ -70,6 +75,8 @@
     [[nodiscard]] std::size_t open_calls() const;
 
 private:
+    using call_result_handler = std::function<void(job_call_result)>;
+
     struct pending_job {
         jobs::job job;
         std::string encoded;
@@ -83,10 +90,15 @@
                              common::result<store::commit_outcome> outcome);
     void complete(pending_job& each, job_call_result call_result);
     void read_state(const std::string& id, store::handler<std::optional<jobs::job_state>> done);
-    void read_closed(const std::string& id, store::handler<std::optional<jobs::job_state>> done);
+    void read_closed(const std::string& id, store::handler<std::optional<closed_job>> done);
+    void cancel_unless_closed(const std::string& id, call_result_handler done);
+    void store_cancellation(const std::string& id, std::int64_t job_revision,
+                            call_result_handler done);
+    void withdraw(const std::string& id, call_result_handler done);
 
     store::transactional_store& store;
     owner_client& owner;
+    const common::clock& clock;
     const common::event_log& log;
     std::function<bool()> store_lost;
     std::deque<pending_job> queue;
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -1,6 +1,5 @@
 // Execution and persistence of the scheduler's decisions.
-#include <charconv>
-
+#include "daemon/closed_job.h"
 #include "daemon/scheduler_host.h"
 #include "daemon/store_keys.h"
 
@@ -65,12 +64,8 @@
     std::vector<std::string> expired_keys;
     for (const store::item& each : page.value().items) {
         this->purge_cursor = each.key;
-        std::int64_t closed_ms = 0;
-        const auto space = each.value.find(' ');
-        if (space != std::string::npos) {
-            const auto* end = each.value.data() + each.value.size();
-            std::from_chars(each.value.data() + space + 1, end, closed_ms);
-        }
+        const std::int64_t closed_ms =
+            parse_closed_job(each.value).value_or(closed_job{}).closed_ms;
         if (closed_ms + this->dependencies.closed_job_retention.count() < this->unix_ms() &&
             expired_keys.size() < purge_batch_size) {
             expired_keys.push_back(each.key);
@@ -186,10 +181,8 @@
             changes.set.push_back({progress_key, std::move(each.progress), 0});
             continue;
         }
-        changes.set.push_back(
-            {store_keys::make_key(store_keys::closed, each.job),
-             std::to_string(static_cast<int>(each.state)) + " " + std::to_string(this->unix_ms()),
-             0});
+        changes.set.push_back({store_keys::make_key(store_keys::closed, each.job),
+                               encode_closed_job({each.state, this->unix_ms(), false}), 0});
         changes.remove.push_back(store_keys::make_key(store_keys::jobs, each.job));
         changes.remove.push_back(store_keys::make_key(store_keys::cancels, each.job));
         changes.remove.push_back(progress_key);
--- a/src/daemon/store_keys.h
+++ b/src/daemon/store_keys.h
@@ -11,8 +11,9 @@
 inline constexpr std::string_view input = "chervilslip/in/"; ///< written by nodes that accept jobs
 inline constexpr std::string_view jobs = "chervilslip/in/job/";
 inline constexpr std::string_view cancels = "chervilslip/in/cancel/";
-inline constexpr std::string_view progress = "chervilslip/progress/";  ///< written by the owner
-inline constexpr std::string_view closed = "chervilslip/closed/";      ///< written by the owner
+inline constexpr std::string_view progress = "chervilslip/progress/"; ///< written by the owner
+/// Written by the owner, and for withdrawn jobs by nodes that accept jobs.
+inline constexpr std::string_view closed = "chervilslip/closed/";
 inline constexpr std::string_view vm_orders = "chervilslip/vm-orders"; ///< last sender of VM orders
 inline constexpr std::string_view waves = "chervilslip/wave/";         ///< written by the owner
 
--- a/src/daemon/tests/job_frontend_tests.cpp
+++ b/src/daemon/tests/job_frontend_tests.cpp
@@ -31,7 +31,13 @@
                 store::handler<store::commit_outcome> done) override
     {
         ++this->commits;
-        if (this->withhold_responses) {
+        if (this->before_commit) {
+            std::exchange(this->before_commit, nullptr)();
+        }
+        if (this->delay_execution) {
+            this->delayed.push_back(changes);
+        }
+        if (this->withhold_responses || this->delay_execution) {
             this->unanswered.push_back(std::move(done));
         } else {
             done(this->items.commit(changes));
@@ -53,7 +59,10 @@
     fakes::revision_store items;
     std::vector<store::handler<store::commit_outcome>> unanswered;
     int commits = 0;
+    std::vector<store::transaction> delayed; ///< not executed yet
+    std::function<void()> before_commit;     ///< runs once, as another node's write would
     bool withhold_responses = false;
+    bool delay_execution = false;
 };
 
 /// Counts the notifications.
@@ -70,8 +79,10 @@
         this->notified_revision = revision;
     }
 
-    void query_state(const std::string&, store::handler<std::optional<jobs::job_state>>) override
+    void query_state(const std::string&,
+                     store::handler<std::optional<jobs::job_state>> done) override
     {
+        done(std::optional<jobs::job_state>{}); // a job that the owner does not know
     }
 
     void query_waiting(const std::string&, store::handler<std::int64_t>) override
@@ -85,9 +96,10 @@
 struct frontend_fixture {
     fake_store store;
     fake_owner_client owner;
+    common::real_clock clock;
     common::event_log log{"test"};
     bool store_unreachable = false;
-    daemon::job_frontend frontend{this->store, this->owner, this->log, [this] {
+    daemon::job_frontend frontend{this->store, this->owner, this->clock, this->log, [this] {
                                       return this->store_unreachable;
                                   }};
 
@@ -105,6 +117,24 @@
         return call_result;
     }
 
+    job_call_result cancel_job(const std::string& id)
+    {
+        std::optional<job_call_result> got;
+        this->frontend.cancel(id, [&got](job_call_result call_result) { got = call_result; });
+        cr_assert(got.has_value());
+        return *got;
+    }
+
+    std::optional<jobs::job_state> state_of(const std::string& id)
+    {
+        std::optional<jobs::job_state> state;
+        this->frontend.state(id, [&state](common::result<std::optional<jobs::job_state>> got) {
+            cr_assert(got.has_value());
+            state = got.value();
+        });
+        return state;
+    }
+
     std::map<std::string, std::optional<job_call_result>> results;
 };
 
@@ -177,4 +207,79 @@
     cr_assert(fixture.frontend.open_calls() == 0);
 }
 
+Test(job_frontend, a_submission_that_takes_effect_after_its_cancellation_creates_no_job)
+{
+    // given a submission whose write has not been executed yet
+    frontend_fixture fixture;
+    fixture.store.delay_execution = true;
+    auto& submitted = fixture.submit_job("j1");
+    fixture.store.delay_execution = false;
+
+    // when
+    cr_assert(fixture.cancel_job("j1") == job_call_result::no_such_job);
+    const auto outcome = fixture.store.items.commit(fixture.store.delayed.at(0));
+    fixture.store.unanswered.at(0)(outcome);
+
+    // then
+    cr_assert(!fixture.store.items.read("chervilslip/in/job/j1").has_value());
+    cr_assert(submitted == job_call_result::withdrawn);
+    cr_assert(fixture.owner.notifications == 0);
+    cr_assert(!fixture.state_of("j1"));
+    cr_assert(fixture.frontend.open_calls() == 0);
+}
+
+Test(job_frontend, a_withdrawn_job_stays_unknown_and_is_not_accepted_later)
+{
+    // given
+    frontend_fixture fixture;
+    cr_assert(fixture.cancel_job("j1") == job_call_result::no_such_job);
+
+    // when, then
+    cr_assert(fixture.cancel_job("j1") == job_call_result::no_such_job);
+    cr_assert(fixture.submit_job("j1") == job_call_result::withdrawn);
+    cr_assert(!fixture.state_of("j1"));
+}
+
+Test(job_frontend, a_job_that_is_stored_while_it_is_withdrawn_is_cancelled)
+{
+    // given
+    frontend_fixture fixture;
+    fixture.store.before_commit = [&fixture] {
+        fixture.submit_job("j1");
+    };
+
+    // when, then
+    cr_assert(fixture.cancel_job("j1") == job_call_result::accepted);
+    cr_assert(fixture.store.items.read("chervilslip/in/cancel/j1").has_value());
+    cr_assert(fixture.state_of("j1") == jobs::job_state::pending);
+}
+
+Test(job_frontend, a_withdrawal_without_a_response_is_not_answered)
+{
+    // given
+    frontend_fixture fixture;
+    fixture.store.withhold_responses = true;
+    std::optional<job_call_result> got;
+    fixture.frontend.cancel("j1", [&got](job_call_result call_result) { got = call_result; });
+
+    // when
+    fixture.store.unanswered.at(0)(
+        common::make_error(common::errc::timed_out, "commit", "store", "no answer"));
+
+    // then
+    cr_assert(got == job_call_result::unknown);
+}
+
+Test(job_frontend, entries_of_closed_jobs_are_read_as_written)
+{
+    for (const bool withdrawn : {false, true}) {
+        const daemon::closed_job entry{jobs::job_state::cancelled, 1'700'000'000'000, withdrawn};
+        cr_assert(daemon::parse_closed_job(daemon::encode_closed_job(entry)) == entry);
+    }
+    cr_assert(daemon::parse_closed_job("2 17") ==
+              (daemon::closed_job{jobs::job_state::completed, 17, false}));
+    cr_assert(!daemon::parse_closed_job("9 17").has_value());
+    cr_assert(!daemon::parse_closed_job("").has_value());
+}
+
 } // namespace
