Bound a start's deadline in real time on workers with slow clocks

Cause: nothing is started on input older than cancel_ms less the start's timeout, so that no start takes effect later than cancel_ms after a cancellation.

Change: the deadline is the lowest value that the worker's clock may show when the timeout has passed. On a clock that runs true, a start has 2% less time.

--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -441,7 +441,7 @@
     command.task = task;
     command.run = run.run;
     command.payload = job.spec.payload;
-    command.deadline_ms = this->deadline_for(*worker, now, this->options.start_timeout);
+    command.deadline_ms = worker->deadline_within(now, this->options.start_timeout);
     command.checkpoint = job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
                              .at(task.step)
                              .at(static_cast<std::size_t>(task.index))
--- a/src/scheduling/tests/scheduler_tests.cpp
+++ b/src/scheduling/tests/scheduler_tests.cpp
@@ -411,4 +411,25 @@
     cr_assert(!first_started.contains("j900"));
 }
 
+Test(scheduler, a_start_is_rejected_in_time_by_a_worker_with_a_slow_clock)
+{
+    // given a worker whose clock is 2% slow and was read 1,500 ms ago
+    scheduler_fixture fixture({make_worker("w1")});
+    fixture.answer_first_polls();
+    const std::int64_t read_at = fixture.now_ms;
+    fixture.now_ms += 1500;
+
+    // when
+    fixture.submit_job(make_job("j1"));
+
+    // then it rejects the start once the start's timeout has passed
+    cr_assert(fixture.starts.size() == 1);
+    const scheduler_options defaults;
+    const std::int64_t rejected_from = fixture.now_ms + defaults.start_timeout.count();
+    const auto slow_clock = read_at + worker_clock_offset_ms +
+                            static_cast<std::int64_t>((rejected_from - read_at) * 98 / 100);
+    cr_assert(fixture.starts[0].deadline_ms <= slow_clock);
+    cr_assert(fixture.starts[0].deadline_ms > slow_clock - 100);
+}
+
 } // namespace
--- a/src/scheduling/worker_state.cpp
+++ b/src/scheduling/worker_state.cpp
@@ -6,6 +6,7 @@
 
 // Margins for the time until a lease has surely expired: a worker's clock may run 2% slow, and its
 // response takes time to arrive.
+constexpr double min_clock_rate = 0.98;
 constexpr double clock_drift_factor = 1.03;
 constexpr common::milliseconds response_margin{150};
 
@@ -18,6 +19,14 @@
     return this->clock_ms + elapsed.count();
 }
 
+std::int64_t worker_state::deadline_within(common::steady_time now, common::milliseconds time) const
+{
+    const auto since_reading =
+        std::chrono::duration_cast<common::milliseconds>(now + time - this->clock_read_at);
+    return this->clock_ms +
+           static_cast<std::int64_t>(static_cast<double>(since_reading.count()) * min_clock_rate);
+}
+
 void worker_state::extend_leases(std::int64_t deadline_ms)
 {
     const auto remaining_ms =
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -54,6 +54,11 @@
     /// the last response.
     [[nodiscard]] std::int64_t clock_at(common::steady_time now) const;
 
+    /// Returns a deadline on the worker's clock that is reached no later than `time` after `now`,
+    /// also if that clock runs slow.
+    [[nodiscard]] std::int64_t deadline_within(common::steady_time now,
+                                               common::milliseconds time) const;
+
     /// Records that a command extends leases to `deadline_ms` on the worker's clock.
     void extend_leases(std::int64_t deadline_ms);
 
