Keep a worker's clock from the report that was read soonest

Callers saw: at 1,100 workers, with the owner short of processor time, three quarters of the quick checks failed and none was refused.

Cause: the owner estimated a worker's clock from the last report at the time at which it handled that report. An owner that handles reports late thus believes the clock to be behind by its own lag, and sends starts whose deadline has passed on the worker's clock. Each is rejected, planned, journalled and sent again.

Change: a response replaces the clock only if it shows a later one than the earlier response does at a clock 2% slow. The estimate is a lower bound at any lag. Leases that end too early by the lag had the same cause.

Conclusion: this removes the rejected starts; the lag itself remains.

--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -175,8 +175,7 @@
     worker->missed_polls = 0;
     const bool first = !worker->token_seen;
     worker->token_seen = true;
-    worker->clock_ms = answer.report.clock_ms;
-    worker->clock_read_at = now;
+    worker->observe_clock(answer.report.clock_ms, now);
     for (const finished_run& finished : answer.report.finished) {
         if (finished.number > worker->last_handled_end) {
             worker->last_handled_end = finished.number;
--- a/src/scheduling/tests/scheduler_fixture.h
+++ b/src/scheduling/tests/scheduler_fixture.h
@@ -100,7 +100,7 @@
     {
         worker_report report;
         report.started_at_ms = 1;
-        report.clock_ms = this->now_ms + worker_clock_offset_ms;
+        report.clock_ms = this->clock_ms_at(this->now() - milliseconds(this->answer_delay_ms));
         report.running = std::move(running);
         report.finished = std::move(finished);
         this->polls.erase(worker);
@@ -149,6 +149,15 @@
         return time_at(this->now_ms);
     }
 
+    /// Returns the time on the workers' clocks.
+    [[nodiscard]] std::int64_t clock_ms_at(steady_time time) const
+    {
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(time - time_at(0));
+        return worker_clock_offset_ms +
+               static_cast<std::int64_t>(static_cast<double>(elapsed.count()) *
+                                         this->worker_clock_rate);
+    }
+
     [[nodiscard]] static reported_run running(const start_command& start,
                                               std::int64_t percent = 100)
     {
@@ -158,6 +167,8 @@
     scheduler under_test;
     std::vector<worker_entry> listed;
     std::int64_t now_ms = 0;
+    std::int64_t answer_delay_ms = 0; ///< how late the owner handles the reports of workers
+    double worker_clock_rate = 1.0;
     bool hold_journal = false;
     std::vector<journal_write> journal;
     std::vector<start_command> starts;
--- a/src/scheduling/tests/scheduler_tests.cpp
+++ b/src/scheduling/tests/scheduler_tests.cpp
@@ -411,4 +411,46 @@
     cr_assert(!first_started.contains("j900"));
 }
 
+Test(scheduler, starts_of_an_owner_that_handles_reports_late_are_not_rejected_as_too_late)
+{
+    // given: the owner has handled one report in time, and handles the next 1.5 s late
+    scheduler_options options;
+    scheduler_fixture fixture({make_worker("w1")}, {}, options);
+    fixture.answer_first_polls();
+    fixture.advance(1000);
+    fixture.answer_poll("w1");
+    fixture.advance(3000);
+    fixture.answer_delay_ms = 1500;
+    fixture.answer_poll("w1");
+
+    // when
+    fixture.submit_job(make_job("j1"));
+
+    // then: the deadline leaves the start its time on the worker's clock, less the clock's drift
+    const std::int64_t clock_ms = fixture.now_ms + worker_clock_offset_ms;
+    const std::int64_t left_ms = fixture.starts.at(0).deadline_ms - clock_ms;
+    cr_assert(left_ms <= options.start_timeout.count());
+    cr_assert(left_ms >= options.start_timeout.count() - 50, "%ld ms", static_cast<long>(left_ms));
+}
+
+Test(scheduler, the_lease_of_a_run_ends_no_earlier_on_a_slow_clock_than_the_owner_assumes)
+{
+    // given: a worker's clock that runs 2% slow
+    scheduler_fixture fixture({make_worker("w1")});
+    fixture.worker_clock_rate = 0.98;
+    fixture.answer_first_polls();
+    for (int i = 0; i < 20; ++i) {
+        fixture.answer_delay_ms = i % 2 == 0 ? 0 : 900;
+        fixture.advance(fixture.now_ms + 1400);
+        fixture.answer_poll("w1");
+    }
+    fixture.advance(fixture.now_ms + 100);
+
+    // then
+    const worker_state& worker = fixture.under_test.all_workers().at("w1");
+    const std::int64_t deadline_ms = *fixture.polls.at("w1").deadline_ms;
+    cr_assert(worker.clock_at(worker.leases_end_by) >= deadline_ms);
+    cr_assert(fixture.clock_ms_at(worker.leases_end_by) >= deadline_ms);
+}
+
 } // namespace
--- a/src/scheduling/worker_state.cpp
+++ b/src/scheduling/worker_state.cpp
@@ -4,7 +4,10 @@
 
 namespace {
 
-// Margins for the time until a lease has surely expired: a worker's clock may run 2% slow, and its
+/// A worker's clock may run 2% slow.
+constexpr double slowest_clock_rate = 0.98;
+
+// Margins for the time until a lease has surely expired: beside the slow clock, the worker's
 // response takes time to arrive.
 constexpr double clock_drift_factor = 1.03;
 constexpr common::milliseconds response_margin{150};
@@ -13,16 +16,31 @@
 
 std::int64_t worker_state::clock_at(common::steady_time now) const
 {
+    if (!this->clock_read_at) {
+        return 0;
+    }
     const auto elapsed =
-        std::chrono::duration_cast<common::milliseconds>(now - this->clock_read_at);
-    return this->clock_ms + elapsed.count();
+        std::chrono::duration_cast<common::milliseconds>(now - *this->clock_read_at);
+    const double rate = elapsed.count() > 0 ? slowest_clock_rate : 1.0;
+    return this->clock_ms + static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * rate);
+}
+
+void worker_state::observe_clock(std::int64_t shown_ms, common::steady_time now)
+{
+    if (!this->clock_read_at || shown_ms >= this->clock_at(now)) {
+        this->clock_ms = shown_ms;
+        this->clock_read_at = now;
+    }
 }
 
 void worker_state::extend_leases(std::int64_t deadline_ms)
 {
+    if (!this->clock_read_at) {
+        return;
+    }
     const auto remaining_ms =
         static_cast<double>(deadline_ms - this->clock_ms) * clock_drift_factor;
-    const auto until = this->clock_read_at +
+    const auto until = *this->clock_read_at +
                        common::milliseconds(static_cast<std::int64_t>(remaining_ms)) +
                        response_margin;
     this->leases_end_by = std::max(this->leases_end_by, until);
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -32,8 +32,11 @@
     std::int64_t missed_polls = 0;
     common::milliseconds poll_wait{60000}; ///< maximum wait of the next poll
 
-    std::int64_t clock_ms = 0;         ///< the worker's clock at its latest response
-    common::steady_time clock_read_at; ///< when that response arrived
+    /// The worker's clock in a response, and when that response was handled. Of all responses, the
+    /// one that gives the latest `clock_at` is kept: a response that was handled late shows a clock
+    /// that has gone on since.
+    std::int64_t clock_ms = 0;
+    std::optional<common::steady_time> clock_read_at; ///< unset: no response yet
     /// Unless a further command extends the leases, no run exists there after this time.
     common::steady_time leases_end_by;
 
@@ -50,10 +53,12 @@
     common::steady_time blocked_until; ///< gets no new tasks before this time
     common::steady_time idle_since;
 
-    /// Returns an estimate of the worker's clock at `now`. It lags behind by at most the latency of
-    /// the last response.
+    /// Returns the lowest value that the worker's clock may have at `now`; 0 before any response.
     [[nodiscard]] std::int64_t clock_at(common::steady_time now) const;
 
+    /// Records the worker's clock in a response that is handled at `now`.
+    void observe_clock(std::int64_t shown_ms, common::steady_time now);
+
     /// Records that a command extends leases to `deadline_ms` on the worker's clock.
     void extend_leases(std::int64_t deadline_ms);
 
