Do not count a response as missing that a late owner has not read yet

Callers saw: at 1,100 workers, with the owner short of processor time, most jobs failed although workers and the nodes that relay to them had time to spare.

Cause: the timeouts of relayed commands run on the clock. An owner that takes most of a second for one pass over its connections finds responses overdue that wait in its sockets. It then takes their workers for unresponsive, avoids their relays for two seconds and deals all workers to relays anew, which costs it more time: the lag feeds itself.

Change: the lateness of the timeout check is taken off the time that counts for these timeouts, by at most 2 s for each command, so that a peer that is gone is noticed all the same.

Conclusion: lag no longer makes healthy workers and peers look dead.

--- a/src/daemon/worker_relay.cpp
+++ b/src/daemon/worker_relay.cpp
@@ -13,6 +13,9 @@
 /// Interval of the check for commands that have timed out.
 constexpr common::milliseconds timeout_check_interval{50};
 
+/// A timeout is extended by at most this while this process does not keep up with reading.
+constexpr common::milliseconds max_timeout_extension{2000};
+
 /// A process numbers its commands from its start time in milliseconds times this factor, so that
 /// later processes of the same node do not reuse a number unless more than a million commands are
 /// sent per second.
@@ -185,7 +188,9 @@
 {
     const std::uint64_t number = ++this->last_number;
     if (done) {
-        this->pending[number] = {peer, this->clock.steady_now() + timeout, std::move(done)};
+        const auto now = this->clock.steady_now();
+        this->pending[number] = {peer, this->reading.at(now) + timeout,
+                                 now + timeout + max_timeout_extension, std::move(done)};
         this->schedule_timeout_check();
     }
     const auto queued = this->outgoing.find(peer);
@@ -327,11 +332,13 @@
     if (std::exchange(this->timeout_check_scheduled, true)) {
         return;
     }
+    this->timeout_check_due = this->clock.steady_now() + timeout_check_interval;
     this->timer.expires_after(timeout_check_interval);
     this->timer.async_wait([this](const boost::system::error_code& failure) {
         if (failure) {
             return;
         }
+        this->reading.record_check(this->timeout_check_due, this->clock.steady_now());
         this->timeout_check_scheduled = false;
         this->expire_commands();
         if (!this->pending.empty()) {
@@ -345,7 +352,7 @@
     const auto now = this->clock.steady_now();
     std::vector<std::uint64_t> expired;
     for (const auto& [number, command] : this->pending) {
-        if (command.deadline <= now) {
+        if (command.deadline <= this->reading.at(now) || command.latest_deadline <= now) {
             expired.push_back(number);
         }
     }
--- a/src/daemon/worker_relay.h
+++ b/src/daemon/worker_relay.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "common/event_log.h"
+#include "daemon/reading_time.h"
 #include "membership/peer_network.h"
 #include "scheduling/command_codec.h"
 #include "scheduling/worker_port.h"
@@ -75,7 +76,8 @@
 private:
     struct pending_command {
         std::string peer;
-        common::steady_time deadline;
+        common::steady_time deadline;        ///< in reading time
+        common::steady_time latest_deadline; ///< however late this process is
         std::function<void(scheduling::numbered_result)> done;
     };
 
@@ -129,6 +131,8 @@
     bool flush_scheduled = false;
     bool result_flush_scheduled = false;
     bool timeout_check_scheduled = false;
+    common::steady_time timeout_check_due;
+    reading_time reading;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer result_timer;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
