Read all that a peer has sent in one pass, up to 64 KB

Cause: each connection between nodes read 8 KB a handler. An owner that is behind handles each connection once a pass, so results beyond 8 KB a relay and pass waited for the next one, and the wait grew with the lag.

Change: a handler waits until data is there, then reads up to 64 KB into a buffer that the connections share.

Conclusion: what one pass leaves behind is bounded by the peers' sending alone.

--- a/src/membership/peer_network.cpp
+++ b/src/membership/peer_network.cpp
@@ -1,6 +1,6 @@
 #include "membership/peer_network.h"
 
-#include <array>
+#include <vector>
 
 #include <netinet/tcp.h>
 
@@ -24,7 +24,9 @@
 constexpr std::size_t max_frame_bytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t max_handshake_bytes = 4096;
 constexpr std::size_t max_queued_frames = 4096;
-constexpr std::size_t read_chunk_bytes = std::size_t{8} * 1024;
+/// How much one handler reads. With less, a process that is behind would not even read in one pass
+/// over its connections what a busy peer sends in the meantime.
+constexpr std::size_t read_buffer_bytes = std::size_t{64} * 1024;
 constexpr std::size_t nonce_bytes = 16;
 constexpr common::milliseconds connect_timeout{1000};
 constexpr common::milliseconds reconnect_delay{300};
@@ -59,10 +61,12 @@
         std::function<void(peer_connection&, const common::error&)> on_end;
     };
 
+    /// `shared_buffer` is used within one handler at a time.
     peer_connection(tcp::socket&& connected, const member& own, const std::string& shared_secret,
-                    callbacks handlers)
+                    std::vector<char>& shared_buffer, callbacks handlers)
         : socket(std::move(connected)), timer(this->socket.get_executor()), self(own),
-          secret(shared_secret), hooks(std::move(handlers)), nonce(common::random_hex(nonce_bytes))
+          secret(shared_secret), read_buffer(shared_buffer), hooks(std::move(handlers)),
+          nonce(common::random_hex(nonce_bytes))
     {
     }
 
@@ -70,6 +74,7 @@
     {
         boost::system::error_code ignored;
         this->socket.set_option(tcp::no_delay(true), ignored);
+        this->socket.non_blocking(true, ignored);
         // Closes a connection soon after the network fails, so that a new one is made when it
         // recovers.
         const unsigned unacknowledged_ms = 4000;
@@ -84,7 +89,7 @@
                 }
             });
         this->send(hello{message_version, this->self, this->nonce});
-        this->read_some();
+        this->wait_for_data();
     }
 
     void send(const message& value)
@@ -123,20 +128,31 @@
     }
 
 private:
-    void read_some()
+    void wait_for_data()
     {
-        this->socket.async_read_some(
-            asio::buffer(this->chunk),
-            [self = this->shared_from_this()](const boost::system::error_code& failure,
-                                              std::size_t size) {
-                if (self->end_on_failure(failure)) {
-                    return;
+        this->socket.async_wait(
+            tcp::socket::wait_read,
+            [self = this->shared_from_this()](const boost::system::error_code& failure) {
+                if (!self->end_on_failure(failure)) {
+                    self->read_available();
                 }
-                self->received.append(self->chunk.data(), size);
-                self->handle_received();
             });
     }
 
+    void read_available()
+    {
+        boost::system::error_code failure;
+        const std::size_t size = this->socket.read_some(asio::buffer(this->read_buffer), failure);
+        if (failure == asio::error::would_block) {
+            this->wait_for_data();
+            return;
+        }
+        if (!this->end_on_failure(failure)) {
+            this->received.append(this->read_buffer.data(), size);
+            this->handle_received();
+        }
+    }
+
     void handle_received()
     {
         std::size_t handled = 0;
@@ -158,7 +174,7 @@
         }
         this->received.erase(0, handled);
         if (!this->ended) {
-            this->read_some();
+            this->wait_for_data();
         }
     }
 
@@ -259,10 +275,10 @@
     asio::steady_timer timer;
     const member& self;
     const std::string& secret;
+    std::vector<char>& read_buffer;
     callbacks hooks;
     std::string nonce;
     member remote;
-    std::array<char, read_chunk_bytes> chunk{};
     std::string received;      ///< not handled yet
     std::string send_queue;    ///< frames that wait for the write under way
     std::string writing_bytes; ///< of the write under way
@@ -429,8 +445,8 @@
                                                                     const common::error& cause) {
             self->on_connection_end(connection, target, cause);
         };
-        auto connection = std::make_shared<peer_connection>(std::move(socket), this->self,
-                                                            this->secret, std::move(handlers));
+        auto connection = std::make_shared<peer_connection>(
+            std::move(socket), this->self, this->secret, this->read_buffer, std::move(handlers));
         this->connections.insert(connection);
         connection->start();
     }
@@ -457,6 +473,7 @@
     std::string secret;
     network_hooks hooks;
     tcp::acceptor acceptor;
+    std::vector<char> read_buffer = std::vector<char>(read_buffer_bytes);
     std::set<net::endpoint> addresses;
     std::set<std::shared_ptr<peer_connection>> connections;
     std::map<std::string, std::shared_ptr<peer_connection>> outgoing; ///< by peer name
