Renew the claim on time while the owner is behind

Callers saw: the fleet changed its owner in the middle of a load that one owner could not keep up with, and each new owner began by polling all workers.

Cause: renewals were sent by the owner's timer alone, which is late when the owner is, and the next one was due 350 ms after the response to the last was read, not after it was sent. At a lag of a second the lease of 1.5 s expired.

Change: renewals are also checked for after each event, and are due from the time at which the last was sent.

Conclusion: a lag of up to about a second no longer costs the claim.

--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -210,6 +210,9 @@
 
 void scheduler_host::react()
 {
+    // Not only in ticks: these are late when the owner is, and the claim would expire.
+    this->ownership_claim.tick(this->now());
+    this->run_claim_actions();
     this->scheduler->react(this->now(), this->unix_ms());
     this->execute_actions();
 }
--- a/src/ownership/claim_manager.cpp
+++ b/src/ownership/claim_manager.cpp
@@ -119,7 +119,8 @@
         return;
     }
     this->lease_expiry = sent_at + this->lease_duration - this->options.expiry_margin;
-    this->next_renewal = now + this->options.renew_interval;
+    // From the sending, because the lease runs from there however late the response is read.
+    this->next_renewal = sent_at + this->options.renew_interval;
 }
 
 void claim_manager::clear_lease()
--- a/src/ownership/tests/claim_manager_tests.cpp
+++ b/src/ownership/tests/claim_manager_tests.cpp
@@ -176,4 +176,19 @@
     cr_assert(!manager.token().has_value());
 }
 
+Test(claim_manager, a_renewal_that_is_answered_late_does_not_delay_the_next)
+{
+    // given: a renewal whose response an overloaded owner reads 900 ms later
+    claim_manager manager = make_owner();
+    manager.tick(at(500));
+    cr_assert(take_single_action<renew_lease>(manager).has_value());
+    manager.on_renewal_response(call_outcome::done, at(500), at(1400));
+
+    // when
+    manager.tick(at(1400));
+
+    // then: the next is sent at once
+    cr_assert(take_single_action<renew_lease>(manager).has_value());
+}
+
 } // namespace
