Choose the routes of a store call only when their turn comes

Each call to the store copied the names of all peers into a list in random order, though nearly every call is answered over the direct route. With 146 peers that is 146 strings and as many random numbers and insertions for each of the owner's commits, watches and reads.

The routes are now chosen one at a time, in a class of their own: the direct route, the preferred peer, then up to three random peers; the direct route comes last while it fails, as before.

--- a/src/daemon/store_transport.cpp
+++ b/src/daemon/store_transport.cpp
@@ -1,4 +1,5 @@
 #include "daemon/store_transport.h"
+#include "daemon/route_plan.h"
 #include "net/http_status.h"
 
 #include <charconv>
@@ -28,11 +29,6 @@
 /// Time that a peer needs in addition to its own call to the store.
 constexpr common::milliseconds peer_margin{50};
 
-/// Randomly chosen peers that one call tries, besides the direct route and the preferred peer.
-constexpr std::size_t max_peers = 3;
-
-constexpr std::string_view direct_route; ///< empty, which no peer's name is
-
 /// Sent when the peer got no response from the store: its call may have been executed.
 constexpr unsigned status_no_answer = 0;
 
@@ -51,6 +47,11 @@
 } // namespace
 
 struct store_transport::pending_call {
+    explicit pending_call(route_plan plan) : routes(std::move(plan))
+    {
+    }
+
+    route_plan routes;
     net::http_request request;
     common::milliseconds wait{0};
     common::steady_time started_at;
@@ -59,7 +60,6 @@
     int pending_attempts = 0;
     bool may_have_executed = false; ///< some attempt may have been executed
     std::string last_cause;
-    std::vector<std::string> remaining_routes; ///< peers and `direct_route`, last first
     std::shared_ptr<boost::asio::steady_timer> hedge_timer;
 };
 
@@ -86,25 +86,14 @@
 void store_transport::call(net::http_request request, common::milliseconds wait,
                            common::milliseconds limit, net::http_answer done)
 {
-    auto pending = std::make_shared<pending_call>();
+    const bool direct_last = this->clock.steady_now() < this->direct_retry_at;
+    auto pending = std::make_shared<pending_call>(route_plan(direct_last));
     pending->request = std::move(request);
     pending->wait = wait;
     pending->started_at = this->clock.steady_now();
     pending->deadline = pending->started_at + wait + limit;
     pending->done = std::move(done);
     pending->hedge_timer = std::make_shared<boost::asio::steady_timer>(this->context);
-    auto& routes = pending->remaining_routes;
-    for (const std::string& peer : this->peers.reachable_peers()) {
-        const auto at = this->random.below(routes.size() + 1);
-        routes.insert(routes.begin() + static_cast<std::ptrdiff_t>(at), peer);
-    }
-    routes.resize(std::min(routes.size(), max_peers));
-    if (this->peers.reachable_peers().contains(this->preferred_peer)) {
-        std::erase(routes, this->preferred_peer);
-        routes.push_back(this->preferred_peer);
-    }
-    const bool direct_last = this->clock.steady_now() < this->direct_retry_at;
-    routes.insert(direct_last ? routes.begin() : routes.end(), std::string(direct_route));
     this->try_next_route(pending);
 }
 
@@ -115,19 +104,22 @@
     if (!pending->done) {
         return;
     }
-    if (remaining <= peer_margin || pending->remaining_routes.empty()) {
+    std::optional<std::string> route;
+    if (remaining > peer_margin) {
+        route =
+            pending->routes.next(this->peers.reachable_peers(), this->preferred_peer, this->random);
+    }
+    if (!route) {
         if (pending->pending_attempts == 0) {
             this->fail(pending);
         }
         return;
     }
-    const std::string route = std::move(pending->remaining_routes.back());
-    pending->remaining_routes.pop_back();
     ++pending->pending_attempts;
-    if (route == direct_route) {
+    if (*route == route_plan::direct_route) {
         this->try_direct(pending, remaining);
     } else {
-        this->try_peer(pending, route, remaining);
+        this->try_peer(pending, *route, remaining);
     }
     // A route that does not respond must not delay the call: the next one is tried in parallel.
     pending->hedge_timer->expires_after(pending->wait + hedge_delay);
