Dispatch less often in a large fleet, and rank only what can start

Every ended run causes a round of dispatch, up to one in 5 ms. A round visits all workers of the pools that are asked for, and ranked and sorted every job with a waiting task, those that wait for an earlier step included.

The gap before a round that an event causes now grows by a millisecond for 100 workers, up to the tick's own period at 1,100; small fleets keep 5 ms. Jobs none of whose steps can start are left out. The order of the others is as before.

Tests: two new ones count rounds and ranked jobs in virtual time. The gain was not measured apart.

--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -36,6 +36,8 @@
     std::uint64_t ends_failed = 0;
     std::uint64_t ends_other = 0;
     std::uint64_t runs_lost = 0;
+    std::uint64_t dispatch_rounds = 0;
+    std::uint64_t jobs_ranked = 0; ///< in all rounds together
 
     friend bool operator==(const scheduler_counters&, const scheduler_counters&) = default;
 };
@@ -241,6 +243,7 @@
     void dispatch_if_due(common::steady_time now, common::steady_time earliest);
     void dispatch(common::steady_time now, std::int64_t unix_ms);
     void index_pools();
+    [[nodiscard]] bool has_dispatchable_step(const active_job& job) const;
     void dispatch_step(active_job& job, std::int64_t occurrence, jobs::step_index step,
                        common::steady_time now);
     bool place_task(active_job& job, const jobs::task_id& task, common::steady_time now);
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -19,7 +19,9 @@
 constexpr common::milliseconds path_refresh_interval{200};
 
 /// Minimum gap before a round that an event causes, so that a burst of ended runs needs one round.
+/// It grows by a millisecond for so many workers, because a round visits all workers of its pools.
 constexpr common::milliseconds reaction_gap{5};
+constexpr std::size_t workers_per_ms = 100;
 
 /// A timed occurrence starts this long after its due time, because clocks differ.
 constexpr std::int64_t due_margin_ms = 30;
@@ -130,12 +132,7 @@
         if (jobs::is_final(job.progress.state)) {
             continue;
         }
-        const bool has_waiting_task =
-            std::any_of(job.counts.begin(), job.counts.end(), [](const auto& steps) {
-                return std::any_of(steps.begin(), steps.end(),
-                                   [](const step_count& each) { return each.waiting > 0; });
-            });
-        if (has_waiting_task) {
+        if (this->has_dispatchable_step(job)) {
             ranked_jobs.emplace_back(this->rank_of(job, unix_ms), &job);
         }
     }
@@ -146,7 +143,10 @@
     const common::milliseconds gap(static_cast<std::int64_t>(ranked_jobs.size()) /
                                    waiting_jobs_per_ms);
     this->earliest_dispatch = now + std::min(gap, max_dispatch_gap);
-    this->earliest_reaction = now + reaction_gap;
+    this->earliest_reaction =
+        now + reaction_gap + common::milliseconds(this->workers.size() / workers_per_ms);
+    ++this->totals.dispatch_rounds;
+    this->totals.jobs_ranked += ranked_jobs.size();
     this->index_pools();
     this->round.emplace(*this->workers_by_pool, now);
     for (const auto& [ignored, job] : ranked_jobs) {
@@ -162,6 +162,21 @@
     this->round.reset();
 }
 
+bool scheduler::has_dispatchable_step(const active_job& job) const
+{
+    for (std::size_t k = 0; k < job.counts.size(); ++k) {
+        for (jobs::step_index s = 0; s < job.spec.steps.size(); ++s) {
+            const step_count& counts = job.counts[k][s];
+            const bool is_open_gang = job.spec.steps[s].gang && counts.open > 0;
+            if (counts.waiting > 0 && !is_open_gang &&
+                this->is_step_ready(job, static_cast<std::int64_t>(k), s)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 void scheduler::index_pools()
 {
     if (this->workers_by_pool) {
--- /dev/null
+++ b/src/scheduling/tests/dispatch_cost_tests.cpp
@@ -0,0 +1,66 @@
+#include "scheduling/tests/scheduler_fixture.h"
+
+// Counts what the owner does for its decisions, in virtual time.
+namespace {
+
+using namespace chervilslip;
+using namespace chervilslip::scheduling;
+using namespace chervilslip::scheduling::tests;
+
+std::vector<worker_entry> make_workers(int count)
+{
+    std::vector<worker_entry> entries;
+    for (int i = 0; i < count; ++i) {
+        entries.push_back(make_worker("w" + std::to_string(i)));
+    }
+    return entries;
+}
+
+/// Returns the rounds of a second in which an event frees or needs capacity every millisecond.
+std::uint64_t rounds_of_a_busy_second(int workers)
+{
+    scheduler_fixture fixture(make_workers(workers));
+    fixture.answer_first_polls();
+    const auto before = fixture.under_test.counters().dispatch_rounds;
+    constexpr std::int64_t second = 1000;
+    const std::int64_t begin = fixture.now_ms + second;
+    for (std::int64_t ms = 0; ms < second; ++ms) {
+        const steady_time now = time_at(begin + ms);
+        fixture.under_test.submit_job(make_job("j" + std::to_string(ms)), now);
+        fixture.under_test.react(now, start_unix_ms + begin + ms);
+    }
+    return fixture.under_test.counters().dispatch_rounds - before;
+}
+
+} // namespace
+
+Test(dispatch_cost, rounds_are_rarer_the_more_workers_a_round_visits)
+{
+    const std::uint64_t small = rounds_of_a_busy_second(2);
+    const std::uint64_t large = rounds_of_a_busy_second(1100);
+    cr_assert(small >= 40, "%lu rounds", static_cast<unsigned long>(small));
+    cr_assert(large <= 64, "%lu rounds", static_cast<unsigned long>(large));
+}
+
+Test(dispatch_cost, jobs_that_wait_for_an_earlier_step_are_not_ranked)
+{
+    constexpr int jobs = 20;
+    scheduler_fixture fixture(make_workers(jobs));
+    fixture.answer_first_polls();
+    for (int i = 0; i < jobs; ++i) {
+        jobs::job job = make_job("j" + std::to_string(i), 2);
+        job.steps.push_back(job.steps.front());
+        job.steps.back().after = {0};
+        fixture.submit_job(job);
+    }
+    fixture.advance(fixture.now_ms + 100);
+    cr_assert(fixture.starts.size() == 2 * jobs);
+    const auto before = fixture.under_test.counters();
+    for (int round = 1; round <= 10; ++round) {
+        fixture.advance(fixture.now_ms + 100);
+    }
+    const auto after = fixture.under_test.counters();
+    cr_assert(after.dispatch_rounds > before.dispatch_rounds);
+    cr_assert(after.jobs_ranked == before.jobs_ranked, "%lu ranked",
+              static_cast<unsigned long>(after.jobs_ranked - before.jobs_ranked));
+}
