--- a/src/daemon/scheduler_host_takeover.cpp
+++ b/src/daemon/scheduler_host_takeover.cpp
@@ -106,7 +106,11 @@
 {
     store::follower_callbacks hooks;
     hooks.on_change = [this](const store::item_map& items, std::int64_t revision) {
-        this->handle_input(items, revision);
+        this->handle_input(items, items, revision);
+    };
+    hooks.on_update = [this](const store::item_map& items, const store::item_map& changed,
+                             std::int64_t revision) {
+        this->handle_input(items, changed, revision);
     };
     hooks.on_request = [this] {
         this->input_requested_at = this->now();
@@ -122,7 +126,8 @@
     this->input_follower->start();
 }
 
-void scheduler_host::handle_input(const store::item_map& items, std::int64_t revision)
+void scheduler_host::handle_input(const store::item_map& items, const store::item_map& changed,
+                                  std::int64_t revision)
 {
     if (this->takeover) {
         this->takeover->input = items;
@@ -131,13 +136,11 @@
         this->finish_takeover_if_ready();
         return;
     }
-    for (const auto& [key, each] : items) {
-        if (!this->known_input_keys.insert(key).second) {
-            continue;
-        }
+    for (const auto& [key, each] : changed) {
         if (key.starts_with(store_keys::cancels)) {
             this->scheduler->cancel_job(key.substr(store_keys::cancels.size()), this->now());
-        } else if (key.starts_with(store_keys::jobs)) {
+        } else if (key.starts_with(store_keys::jobs) &&
+                   !this->scheduler->state_of(key.substr(store_keys::jobs.size()))) {
             const auto job = jobs::decode_job(each.value, key);
             if (job) {
                 this->scheduler->submit_job(job.value(), this->now());
@@ -164,7 +167,6 @@
     this->scheduler = std::make_unique<scheduling::scheduler>(options);
     std::vector<scheduling::stored_job> stored;
     for (const auto& [key, each] : read->input) {
-        this->known_input_keys.insert(key);
         if (!key.starts_with(store_keys::jobs)) {
             continue;
         }
