--- a/src/fakes/run_model.cpp
+++ b/src/fakes/run_model.cpp
@@ -12,6 +12,14 @@
 constexpr std::int64_t longest_hold_ms = 6000;
 constexpr std::int64_t full_percent = 100;
 
+end_cause cause_at_end(const run_request& run)
+{
+    if (run.stopping) {
+        return end_cause::stopped;
+    }
+    return run.fails ? end_cause::failed : end_cause::done;
+}
+
 } // namespace
 
 run_model::run_model(scheduling::worker_entry entry, run_model_options wanted, run_hooks to_tell)
@@ -99,21 +107,25 @@
     highest = std::max(highest, run);
     const auto found = this->running.find(task);
     if (found != this->running.end() && found->second.run == run) {
-        this->end_run(task, end_cause::stopped);
+        this->end_by_stop(found->second);
     }
     return command_outcome::accepted;
 }
 
 void run_model::settle(std::int64_t now)
 {
+    this->settled_at = now;
     std::vector<jobs::task_id> over;
-    for (const auto& [task, run] : this->running) {
+    for (auto& [task, run] : this->running) {
+        if (run.saves && *run.saves <= now) {
+            run.checkpoint = run.next_checkpoint;
+        }
         if (run.ends && *run.ends <= now) {
             over.push_back(task);
         }
     }
     for (const jobs::task_id& task : over) {
-        this->end_run(task, this->running[task].fails ? end_cause::failed : end_cause::done);
+        this->end_run(task, cause_at_end(this->running[task]));
     }
     if (this->clock(now) <= this->deadline) {
         return;
@@ -137,7 +149,7 @@
     seen.started_at_ms = this->told.instance.started_at_ms;
     seen.clock_ms = this->clock(now);
     for (const auto& [task, run] : this->running) {
-        seen.running.push_back({task, run.run, {}, full_percent, 0});
+        seen.running.push_back({task, run.run, run.checkpoint, full_percent, 0});
     }
     seen.finished = this->ended;
     return seen;
@@ -194,13 +206,26 @@
     std::erase_if(this->ended, [number](const auto& row) { return row.number <= number; });
 }
 
+void run_model::end_by_stop(run_request& run)
+{
+    if (this->options.stop_ms == 0) {
+        this->end_run(run.task, end_cause::stopped);
+        return;
+    }
+    const std::int64_t over = this->settled_at + this->options.stop_ms;
+    if (!run.ends || *run.ends > over) {
+        run.ends = over;
+        run.stopping = true;
+    }
+}
+
 void run_model::end_run(const jobs::task_id& task, end_cause cause)
 {
-    const std::int64_t run = this->running.at(task).run;
-    this->running.erase(task);
-    this->ended.push_back({++this->ends, task, run, cause, {}});
+    const run_request run = std::move(this->running.at(task));
+    this->running.erase(run.task);
+    this->ended.push_back({++this->ends, run.task, run.run, cause, run.checkpoint});
     if (this->hooks.on_end) {
-        this->hooks.on_end(task, cause);
+        this->hooks.on_end(run.task, cause);
     }
 }
 
--- a/src/fakes/run_model.h
+++ b/src/fakes/run_model.h
@@ -16,6 +16,10 @@
     teams::resources size;            ///< what it takes of the worker's capacity
     std::optional<std::int64_t> ends; ///< when it ends by itself; nothing: it lasts
     bool fails = false;               ///< how it ends
+    bool stopping = false;            ///< it was stopped and ends at `ends`
+    std::string checkpoint{};         ///< what it has saved, or the one that it resumed from
+    std::string next_checkpoint{};    ///< what it saves at `saves`
+    std::optional<std::int64_t> saves{};
 
     friend bool operator==(const run_request&, const run_request&) = default;
 };
@@ -36,6 +40,7 @@
     std::int64_t clock_offset_ms = 0;
     double clock_rate = 1.0;
     bool guards_capacity = false;    ///< refuses what does not fit
+    std::int64_t stop_ms = 0;        ///< how long a run takes to stop, from the last `settle`
     bool obeys_older_owners = false; ///< a planted fault
 
     friend bool operator==(const run_model_options&, const run_model_options&) = default;
@@ -83,6 +88,7 @@
     [[nodiscard]] bool fits(const teams::resources& size) const;
     void extend(std::int64_t deadline_ms, std::int64_t now);
     void note_ends(std::int64_t number);
+    void end_by_stop(run_request& run);
     void end_run(const jobs::task_id& task, scheduling::end_cause cause);
 
     scheduling::worker_entry told;
@@ -95,6 +101,7 @@
     std::vector<scheduling::finished_run> ended;
     std::int64_t ends = 0;
     std::set<std::int64_t> lapsed_ends; ///< listed before a lapse of the lease
+    std::int64_t settled_at = 0;
 };
 
 } // namespace chervilslip::fakes
--- a/src/fakes/tests/run_model_tests.cpp
+++ b/src/fakes/tests/run_model_tests.cpp
@@ -104,6 +104,48 @@
     cr_assert(worker.report(2001).finished.at(0).cause == end_cause::lapsed);
 }
 
+Test(run_model, a_stop_takes_its_time_and_keeps_the_room)
+{
+    // given
+    scheduling::worker_entry entry;
+    entry.instance = instance;
+    entry.capacity = {1000, 1000, 0, 0};
+    fakes::run_model worker(entry, {.guards_capacity = true, .stop_ms = 300}, {});
+    worker.start(instance, 1, request(1, 5000), 0);
+    fakes::run_request other = request(1, 5000);
+    other.task.index = 1;
+
+    // when
+    worker.settle(100);
+    worker.stop(instance, 1, task, 1);
+    worker.settle(399);
+
+    // then
+    cr_assert(worker.start(instance, 1, other, 399) == command_outcome::no_capacity);
+    worker.settle(400);
+    cr_assert(worker.report(400).finished.at(0).cause == end_cause::stopped);
+    cr_assert(worker.start(instance, 1, other, 400) == command_outcome::accepted);
+}
+
+Test(run_model, a_run_lists_its_checkpoint_once_it_is_saved)
+{
+    // given
+    auto worker = make_worker();
+    fakes::run_request resumed = request(2, 5000);
+    resumed.checkpoint = "of run 1";
+    resumed.next_checkpoint = "of run 2";
+    resumed.saves = 100;
+    worker.start(instance, 1, resumed, 0);
+
+    // when, then
+    worker.settle(99);
+    cr_assert(worker.report(99).running.at(0).checkpoint == "of run 1");
+    worker.settle(100);
+    cr_assert(worker.report(100).running.at(0).checkpoint == "of run 2");
+    worker.stop(instance, 1, task, 2);
+    cr_assert(worker.report(100).finished.at(0).checkpoint == "of run 2");
+}
+
 Test(run_model, ends_are_listed_until_they_are_noted)
 {
     // given
