--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 	@$(BUILD)/bin/chervilslip-soak --seed $(SEED) --steps $(STEPS)
 
 fleet-soak: build
-	@CHERVILSLIP_BIN=$(CURDIR)/$(BUILD)/bin python3 platform/trial/fleet_soak.py --seed $(SEED) --seeds $(SEEDS)
+	@CHERVILSLIP_BIN=$(CURDIR)/$(BUILD)/bin python3 platform/trial/fleet_soak.py --seed $(SEED) --seeds $(SEEDS) $(OPTIONS)
 
 trial: build
 	@CHERVILSLIP_BIN=$(CURDIR)/$(BUILD)/bin python3 scripts/trial.py
