Pass on jobs and cancellations whose id was used before

Cause: the owner remembered the keys of all input that it had passed on, for good and without their revisions, so another job or cancellation under such a key counted as known. Besides, a purge whose response was lost left the closed job in the scheduler's memory, where it hid a later job of that id.

Change: what was passed on is remembered by key and revision, and dropped once it has left the store. Closed jobs are forgotten before their purge is sent. The memory no longer grows with every job of an owner's time.

The order of a purge has no test of its own.

--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -344,7 +344,7 @@
     this->takeover.reset();
     this->pending_writes.clear();
     this->input_follower.reset();
-    this->known_input_keys.clear();
+    this->passed_input.clear();
     this->worker_entries_read = false;
     this->dependencies.registry.unsubscribe();
 }
@@ -353,7 +353,7 @@
 {
     if (this->scheduler &&
         this->scheduler->handle_job_notification(accepted, revision, this->now())) {
-        this->known_input_keys.insert(store_keys::make_key(store_keys::jobs, accepted.id));
+        this->passed_input.add(store_keys::make_key(store_keys::jobs, accepted.id), revision);
         ++this->handled.jobs;
         this->react();
     }
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -6,6 +6,7 @@
 #include "common/event_log.h"
 #include "daemon/fleet_configuration.h"
 #include "daemon/fleet_controller.h"
+#include "daemon/input_tracker.h"
 #include "daemon/worker_registry_port.h"
 #include "ownership/claim_manager.h"
 #include "scheduling/scheduler.h"
@@ -168,7 +169,7 @@
     std::unique_ptr<takeover_state> takeover;
     std::unique_ptr<scheduling::scheduler> scheduler;
     std::unique_ptr<fleet_controller> controller;
-    std::set<std::string> known_input_keys;
+    input_tracker passed_input;
     /// Events that the owner has handled since it last reported its lag.
     struct handled_events {
         std::int64_t polls = 0;
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -81,18 +81,19 @@
 
 void scheduler_host::delete_closed_jobs(std::vector<std::string> keys)
 {
+    // Forgotten first: once an entry is deleted, its id is free for another job, also if the
+    // store's response is lost.
+    for (const std::string& key : keys) {
+        this->scheduler->forget_closed_job(key.substr(store_keys::closed.size()));
+    }
     store::transaction changes;
     changes.expected.push_back({std::string(store_keys::claim), this->token});
-    changes.remove = keys;
+    changes.remove = std::move(keys);
     this->dependencies.store.commit(
-        changes, this->bind_to_claim([this, keys](common::result<store::commit_outcome> outcome) {
-            if (!outcome || !outcome.value().committed) {
-                return; // a later purge finds them again
-            }
-            this->scheduler->ignore_notifications_until(outcome.value().revision);
-            for (const std::string& key : keys) {
-                this->scheduler->forget_closed_job(key.substr(store_keys::closed.size()));
-            }
+        changes, this->bind_to_claim([this](common::result<store::commit_outcome> outcome) {
+            if (outcome && outcome.value().committed) {
+                this->scheduler->ignore_notifications_until(outcome.value().revision);
+            } // otherwise a later purge finds what is left of them
         }));
 }
 
--- a/src/daemon/scheduler_host_takeover.cpp
+++ b/src/daemon/scheduler_host_takeover.cpp
@@ -131,14 +131,12 @@
         this->finish_takeover_if_ready();
         return;
     }
-    for (const auto& [key, each] : items) {
-        if (!this->known_input_keys.insert(key).second) {
-            continue;
-        }
+    for (const store::item* each : this->passed_input.take_new(items, revision)) {
+        const std::string& key = each->key;
         if (key.starts_with(store_keys::cancels)) {
             this->scheduler->cancel_job(key.substr(store_keys::cancels.size()), this->now());
         } else if (key.starts_with(store_keys::jobs)) {
-            const auto job = jobs::decode_job(each.value, key);
+            const auto job = jobs::decode_job(each->value, key);
             if (job) {
                 this->scheduler->submit_job(job.value(), this->now());
             } else {
@@ -164,7 +162,7 @@
     this->scheduler = std::make_unique<scheduling::scheduler>(options);
     std::vector<scheduling::stored_job> stored;
     for (const auto& [key, each] : read->input) {
-        this->known_input_keys.insert(key);
+        this->passed_input.add(key, each.revision);
         if (!key.starts_with(store_keys::jobs)) {
             continue;
         }
