Look at all workers, VMs and commands less often in a large fleet

A profile of the owner over the stand-in (perf, 1,100 workers, six nodes, some 750 runs a second, beside others) had 8 to 9 % of its samples in the walk over all workers that each tick makes for due polls and expired leases, 5 to 8 % in the plan of the pools, which copies all VMs ten times a second, and 3 % in the check of all pending commands for timeouts, 20 times a second.

The intervals now grow with what is walked over: a scan of the workers in a millisecond for ten of them (110 ms at 1,100, each tick up to 150), the plan by one for ten VMs, the check by one for 20 commands. Polls that become due before the next scan are kept in a list, so none is sent later than before. A lease's end is noticed up to 110 ms later, and a command's timeout up to 100 ms later at 2,000 pending.

Tests: a worker is polled when it is due, to the millisecond, between two scans of 1,100 workers.

--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -25,6 +25,9 @@
 /// Interval between planning rounds.
 constexpr common::milliseconds plan_interval{100};
 
+/// Each plan looks at all VMs, so the interval grows by a millisecond for so many of them.
+constexpr std::size_t vms_per_plan_ms = 10;
+
 } // namespace
 
 fleet_controller::fleet_controller(fleet_controller_dependencies injected,
@@ -258,7 +261,8 @@
         now >= authority_until || this->vms.empty() || this->on_closed) {
         return;
     }
-    this->next_plan = now + plan_interval;
+    this->next_plan =
+        now + plan_interval + common::milliseconds(this->vms.size() / vms_per_plan_ms);
     if (this->planner.has_open_wave()) {
         for (const maintenance::wave_step& step :
              this->planner.plan(this->maintenance_view(), now)) {
--- a/src/daemon/worker_relay.cpp
+++ b/src/daemon/worker_relay.cpp
@@ -13,6 +13,9 @@
 /// Interval of the check for commands that have timed out.
 constexpr common::milliseconds timeout_check_interval{50};
 
+/// A check looks at all pending commands, so the interval grows by a millisecond for so many.
+constexpr std::size_t commands_per_check_interval_ms = 20;
+
 /// A process numbers its commands from its start time in milliseconds times this factor, so that
 /// later processes of the same node do not reuse a number unless more than a million commands are
 /// sent per second.
@@ -327,7 +330,9 @@
     if (std::exchange(this->timeout_check_scheduled, true)) {
         return;
     }
-    this->timer.expires_after(timeout_check_interval);
+    this->timer.expires_after(
+        timeout_check_interval +
+        common::milliseconds(this->pending.size() / commands_per_check_interval_ms));
     this->timer.async_wait([this](const boost::system::error_code& failure) {
         if (failure) {
             return;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -117,10 +117,7 @@
 {
     this->last_now = now;
     this->last_unix_ms = unix_ms;
-    for (auto& [id, worker] : this->workers) {
-        this->poll_if_due(worker, now);
-    }
-    this->expire_workers(now);
+    this->poll_due_workers(now);
     this->dispatch_if_due(now, this->earliest_dispatch);
     this->flush_journal(now);
 }
@@ -259,7 +256,7 @@
         }
         worker->second.acknowledge_durable();
         if (!worker->second.poll_in_flight && worker->second.pending_ends.empty()) {
-            worker->second.next_poll = std::min(worker->second.next_poll, now);
+            this->schedule_poll(worker->second, std::min(worker->second.next_poll, now));
         }
     }
     this->send_batch_starts(lane, now);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -233,6 +233,8 @@
                            common::steady_time now);
     void reconcile_missing(worker_state& worker, const poll_result& answer);
     void throttle_best_effort_runs(worker_state& worker, common::steady_time now);
+    void poll_due_workers(common::steady_time now);
+    void schedule_poll(worker_state& worker, common::steady_time at);
     void mark_runs_lost(worker_state& worker, std::string_view why);
     void expire_workers(common::steady_time now);
     void request_stop(const jobs::task_id& task, open_run& run, common::steady_time now);
@@ -305,6 +307,9 @@
     std::optional<dispatch_round> round;   ///< set while tasks are placed
     bool fenced = false;
     std::vector<action> actions;
+    common::steady_time next_scan; ///< of all workers
+    /// Polls that may become due before the next scan, by worker.
+    std::vector<std::pair<common::steady_time, std::string>> early_polls;
 };
 
 } // namespace chervilslip::scheduling
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -25,6 +25,10 @@
 /// Maximum wait of a poll to a worker that runs best-effort tasks.
 constexpr common::milliseconds throttled_poll_wait{500};
 
+/// All workers are scanned for expired leases and due polls at an interval of a millisecond for so
+/// many workers. In between only the polls that are known to become due are looked at.
+constexpr std::size_t workers_per_scan_interval_ms = 10;
+
 /// A stop command without effect is repeated after this time.
 constexpr common::milliseconds stop_retry_interval{600};
 
@@ -89,6 +93,7 @@
         }
         known = worker_state{};
         known.next_poll = now;
+        this->next_scan = now;
         known.idle_since = now;
         this->record(decision_record::kind::worker_added, entry.instance.id,
                      "pool " + entry.pool + ", VM " + entry.vm);
@@ -117,6 +122,41 @@
     return worker.clock_at(from) + time.count();
 }
 
+void scheduler::schedule_poll(worker_state& worker, common::steady_time at)
+{
+    worker.next_poll = at;
+    if (at < this->next_scan) {
+        this->early_polls.emplace_back(at, worker.entry.instance.id);
+    }
+}
+
+void scheduler::poll_due_workers(common::steady_time now)
+{
+    if (now >= this->next_scan) {
+        this->next_scan =
+            now + common::milliseconds(this->workers.size() / workers_per_scan_interval_ms);
+        this->early_polls.clear();
+        for (auto& [id, worker] : this->workers) {
+            this->poll_if_due(worker, now);
+            if (!worker.poll_in_flight && worker.next_poll < this->next_scan) {
+                this->early_polls.emplace_back(worker.next_poll, id);
+            }
+        }
+        this->expire_workers(now);
+        return;
+    }
+    const auto first_due =
+        std::stable_partition(this->early_polls.begin(), this->early_polls.end(),
+                              [now](const auto& each) { return now < each.first; });
+    for (auto each = first_due; each != this->early_polls.end(); ++each) {
+        const auto worker = this->workers.find(each->second);
+        if (worker != this->workers.end()) {
+            this->poll_if_due(worker->second, now);
+        }
+    }
+    this->early_polls.erase(first_due, this->early_polls.end());
+}
+
 void scheduler::poll_if_due(worker_state& worker, common::steady_time now)
 {
     if (worker.poll_in_flight || now < worker.next_poll ||
@@ -155,7 +195,7 @@
     }
     if (answer.outcome == command_outcome::other_instance) {
         this->mark_runs_lost(*worker, "another worker instance answers at its address");
-        worker->next_poll = now + poll_retry_interval;
+        this->schedule_poll(*worker, now + poll_retry_interval);
         ++worker->missed_polls;
         return;
     }
@@ -164,7 +204,7 @@
             this->record(decision_record::kind::worker_suspected, worker->entry.instance.id,
                          std::string(to_string(answer.outcome)));
         }
-        worker->next_poll = now + poll_retry_interval;
+        this->schedule_poll(*worker, now + poll_retry_interval);
         return;
     }
     if (worker->missed_polls > 0) {
@@ -190,10 +230,11 @@
         this->evacuate(worker->entry.instance.id, now);
     }
     this->throttle_best_effort_runs(*worker, now);
-    worker->next_poll =
-        first || was_unresponsive
-            ? now
-            : now + (worker->pending_ends.empty() ? poll_interval : uncommitted_poll_interval);
+    common::milliseconds pause{0};
+    if (!first && !was_unresponsive) {
+        pause = worker->pending_ends.empty() ? poll_interval : uncommitted_poll_interval;
+    }
+    this->schedule_poll(*worker, now + pause);
     this->dispatch_due = this->dispatch_due || first;
 }
 
--- a/src/scheduling/tests/dispatch_cost_tests.cpp
+++ b/src/scheduling/tests/dispatch_cost_tests.cpp
@@ -34,6 +34,24 @@
 
 } // namespace
 
+Test(dispatch_cost, a_worker_is_polled_when_due_though_all_are_scanned_less_often)
+{
+    constexpr std::int64_t poll_gap_ms = 25;
+    scheduler_fixture fixture(make_workers(1100));
+    fixture.answer_first_polls();
+    fixture.advance(fixture.now_ms + 200);
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "w" + std::to_string(i);
+        cr_assert(fixture.polls.contains(id));
+        fixture.answer_poll(id);
+        cr_assert(!fixture.polls.contains(id));
+        fixture.advance(fixture.now_ms + poll_gap_ms - 1);
+        cr_assert(!fixture.polls.contains(id), "%s is polled too early", id.c_str());
+        fixture.advance(fixture.now_ms + 1);
+        cr_assert(fixture.polls.contains(id), "%s is not polled in time", id.c_str());
+    }
+}
+
 Test(dispatch_cost, rounds_are_rarer_the_more_workers_a_round_visits)
 {
     const std::uint64_t small = rounds_of_a_busy_second(2);
