Ask first whether a worker has room

Placement looks at every usable worker of a pool for each task. It looked up what a gang has reserved there, compared the pool's name and copied amounts before it found that most have no room. Room is now asked first, inline.

The choice is the same.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -38,7 +38,7 @@
     const worker_entry& entry = worker.entry;
     teams::resources free = worker.free();
     free -= reserved;
-    if (entry.pool != request.pool || !free.can_fit(request.size)) {
+    if (!free.can_fit(request.size) || entry.pool != request.pool) {
         return std::nullopt;
     }
     if (!request.required_label.empty() && entry.kind != request.required_label &&
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -271,6 +271,9 @@
     worker_state* best = nullptr;
     double best_cost = 0;
     for (worker_state* worker : this->round->usable_in(request.pool)) {
+        if (!worker->has_room_for(request.size)) {
+            continue; // most workers, when it matters
+        }
         const std::string& id = worker->entry.instance.id;
         const auto claimed = reserved.find(id);
         const auto same_vm = on_vm.find(id);
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -60,6 +60,17 @@
     /// Returns the free capacity by the owner's own accounting.
     [[nodiscard]] teams::resources free() const;
 
+    /// Returns whether that capacity holds `size`. Inline, because placement asks it of all workers
+    /// of a pool for each task.
+    [[nodiscard]] bool has_room_for(const teams::resources& size) const
+    {
+        const teams::resources& all = this->entry.capacity;
+        return size.processors <= all.processors - this->used.processors &&
+               size.memory_mb <= all.memory_mb - this->used.memory_mb &&
+               size.accelerators <= all.accelerators - this->used.accelerators &&
+               size.slots <= all.slots - this->used.slots;
+    }
+
     /// Advances `acknowledged` over the leading ends that are durable.
     void acknowledge_durable();
 };
