Gather commands, results and changes for longer while the owner lags

So the owner's cost for a task stays the same when it has no time left, and its queues grow.

Leases, deadlines and the acknowledgement of ends are as before, and with a window of zero so is everything sent.

Wire: a batch of commands has a fourth field, the delay of the results, only while there is a window. A relay cuts the delay to 100 ms.

--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -56,6 +56,7 @@
                   [this](const std::vector<scheduling::worker_entry>& known) {
                       this->workers.update_workers(known);
                   },
+                  [this](common::milliseconds window) { this->workers.set_batch_window(window); },
                   injected.claim, injected.controller_options},
                  {this->identity.name, this->identity.incarnation},
                  this->identity.peer_endpoint.to_string(), seed),
--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -155,6 +155,12 @@
 {
     const auto lag = std::chrono::duration_cast<common::milliseconds>(this->now() - this->tick_due);
     this->max_lag = std::max(this->max_lag, lag);
+    const auto earlier_window = this->gathering.length();
+    this->gathering.observe(lag);
+    if (this->gathering.length() != earlier_window) {
+        this->scheduler->set_batch_window(this->gathering.length());
+        this->dependencies.on_batch_window_changed(this->gathering.length());
+    }
     if (lag < notable_lag || this->now() < this->next_lag_report) {
         return;
     }
@@ -339,6 +345,8 @@
 void scheduler_host::discard_scheduler()
 {
     this->claim_lifetime.reset();
+    this->gathering = {};
+    this->dependencies.on_batch_window_changed(this->gathering.length());
     this->scheduler.reset();
     this->controller.reset();
     this->takeover.reset();
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -8,6 +8,7 @@
 #include "daemon/fleet_controller.h"
 #include "daemon/worker_registry_port.h"
 #include "ownership/claim_manager.h"
+#include "scheduling/batch_window.h"
 #include "scheduling/scheduler.h"
 #include "scheduling/worker_port.h"
 #include "store/prefix_follower.h"
@@ -29,6 +30,8 @@
     std::function<bool(const process_identity&)> has_ended;
     /// Called with all workers that the owner knows.
     std::function<void(const std::vector<scheduling::worker_entry>&)> on_workers_changed;
+    /// Called when the owner's load changes how long commands are to be gathered.
+    std::function<void(common::milliseconds)> on_batch_window_changed;
     ownership::claim_options claim;
     fleet_controller_options controller_options;
 };
@@ -176,6 +179,7 @@
         std::int64_t commits = 0;
     };
     handled_events handled;
+    scheduling::batch_window gathering;
     common::steady_time tick_due; ///< when the pending tick should run
     common::steady_time next_lag_report;
     common::milliseconds max_lag{0};        ///< since the metrics were last read
--- a/src/daemon/tests/worker_relay_tests.cpp
+++ b/src/daemon/tests/worker_relay_tests.cpp
@@ -81,6 +81,7 @@
                                       const membership::message& value,
                                       const membership::response_sender&) {
             const auto* call = std::get_if<membership::relay_call>(&value);
+            ++this->messages;
             if (call != nullptr && call->target == daemon::worker_relay::orders_target) {
                 this->workers.handle_orders(peer.name, call->body);
             } else if (call != nullptr) {
@@ -101,6 +102,7 @@
 
     fake_workers direct_workers;
     int connections = 0;
+    int messages = 0;
     membership::peer_network network;
     daemon::worker_relay workers;
     net::endpoint at;
@@ -135,6 +137,22 @@
         cr_assert(done());
     }
 
+    /// Sends polls from handlers of their own and waits for their results. Returns the messages
+    /// that these took, in both directions.
+    int poll_one_by_one(int polls)
+    {
+        const int before = this->owner.messages + this->relay.messages;
+        int answered = 0;
+        for (int i = 0; i < polls; ++i) {
+            this->owner.workers.poll(
+                {{"w0", 1}, "a", i, {}, milliseconds(60'000)}, 7,
+                [&answered](command_outcome, const scheduling::worker_report&) { ++answered; });
+            this->context.poll();
+        }
+        this->run_until([&] { return answered == polls; });
+        return this->owner.messages + this->relay.messages - before;
+    }
+
     /// Starts a run and returns the outcome of the command.
     command_outcome start()
     {
@@ -237,4 +255,21 @@
     cr_assert(!outcome.has_value());
 }
 
+Test(worker_relay, messages_for_a_command_become_fewer_when_the_owner_lags)
+{
+    // given
+    constexpr int polls = 10;
+    pair_of_nodes calm(2);
+    pair_of_nodes lagging(2);
+
+    // when
+    const int usual = calm.poll_one_by_one(polls);
+    lagging.owner.workers.set_batch_window(milliseconds(500));
+    const int gathered = lagging.poll_one_by_one(polls);
+
+    // then
+    cr_assert(usual > polls, "%d messages", usual);
+    cr_assert(gathered == 2, "%d messages", gathered);
+}
+
 } // namespace
--- a/src/daemon/worker_relay.cpp
+++ b/src/daemon/worker_relay.cpp
@@ -47,7 +47,7 @@
       options(tuning),
       last_number(static_cast<std::uint64_t>(common::unix_milliseconds(time_source.wall_now())) *
                   numbers_per_ms),
-      timer(io), result_timer(io)
+      timer(io), result_timer(io), flush_timer(io)
 {
 }
 
@@ -73,6 +73,11 @@
     });
 }
 
+void worker_relay::set_batch_window(common::milliseconds window)
+{
+    this->batch_window = window;
+}
+
 void worker_relay::reset_assignment()
 {
     this->peer_of_worker.clear();
@@ -271,8 +276,17 @@
     if (std::exchange(this->flush_scheduled, true)) {
         return;
     }
-    boost::asio::post(this->context, [this, weak = std::weak_ptr<bool>(this->alive)] {
-        if (!weak.expired()) {
+    if (this->batch_window.count() == 0) {
+        boost::asio::post(this->context, [this, weak = std::weak_ptr<bool>(this->alive)] {
+            if (!weak.expired()) {
+                this->flush();
+            }
+        });
+        return;
+    }
+    this->flush_timer.expires_after(this->batch_window);
+    this->flush_timer.async_wait([this](const boost::system::error_code& failure) {
+        if (!failure) {
             this->flush();
         }
     });
@@ -281,7 +295,8 @@
 void worker_relay::flush()
 {
     this->flush_scheduled = false;
-    for (const auto& [peer, batch] : std::exchange(this->outgoing, {})) {
+    for (auto& [peer, batch] : std::exchange(this->outgoing, {})) {
+        batch.result_delay = this->batch_window;
         const std::string body = scheduling::encode_commands(batch);
         if (this->network.send(peer, make_call(orders_target, body))) {
             continue;
@@ -297,7 +312,7 @@
     if (std::exchange(this->result_flush_scheduled, true)) {
         return;
     }
-    this->result_timer.expires_after(this->options.result_delay);
+    this->result_timer.expires_after(this->options.result_delay + this->requested_delay);
     this->result_timer.async_wait([this](const boost::system::error_code& failure) {
         if (!failure) {
             this->flush_results();
@@ -395,6 +410,7 @@
         this->log.write(event_id::peer_refused, {{"error", decoded.error().to_string()}});
         return;
     }
+    this->requested_delay = decoded.value().result_delay;
     for (const scheduling::numbered_command& each : decoded.value().commands) {
         this->execute_command(peer, each, decoded.value().token);
     }
--- a/src/daemon/worker_relay.h
+++ b/src/daemon/worker_relay.h
@@ -51,6 +51,10 @@
     /// Replaces the list of workers that the owner knows.
     void update_workers(const std::vector<scheduling::worker_entry>& entries);
 
+    /// Sets for how long commands are gathered, and results by the relays beyond their own delay;
+    /// zero: commands are sent after the current handler.
+    void set_batch_window(common::milliseconds window);
+
     /// Adds or removes a peer that can relay commands.
     void on_peer_connected(const membership::member& peer);
     void on_peer_lost(const std::string& peer);
@@ -131,6 +135,9 @@
     bool timeout_check_scheduled = false;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer result_timer;
+    boost::asio::steady_timer flush_timer;
+    common::milliseconds batch_window{0};
+    common::milliseconds requested_delay{0}; ///< of results, by the owner that sent last
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/scheduling/command_codec.cpp
+++ b/src/scheduling/command_codec.cpp
@@ -11,6 +11,7 @@
 
 enum class command_kind { poll, start, stop, throttle };
 
+constexpr std::size_t fields_of_calm_batch = 3; ///< without a delay of the results
 constexpr std::size_t fields_of_header = 5;
 constexpr std::size_t fields_of_result = 3;
 constexpr std::size_t fields_of_run = 5;
@@ -205,13 +206,16 @@
     const payload_table payloads(batch);
     std::string bytes;
     msgpack_writer to(bytes);
-    to.array(3).add(batch.token);
+    to.array(fields_of_calm_batch + (batch.result_delay.count() > 0 ? 1U : 0U)).add(batch.token);
     payloads.write(to);
     to.array(batch.commands.size());
     command_writer writer(to, payloads);
     for (const numbered_command& each : batch.commands) {
         std::visit([&](const auto& command) { writer.write(each.number, command); }, each.command);
     }
+    if (batch.result_delay.count() > 0) {
+        to.add(static_cast<std::int64_t>(batch.result_delay.count()));
+    }
     return bytes;
 }
 
@@ -222,6 +226,11 @@
             command_batch batch;
             batch.token = source.get<std::int64_t>(0);
             const msgpack_row payloads = source.row(1);
+            if (source.size() > fields_of_calm_batch) {
+                batch.result_delay = common::milliseconds(
+                    std::clamp<std::int64_t>(source.get<std::int64_t>(fields_of_calm_batch), 0,
+                                             command_batch::max_result_delay.count()));
+            }
             source.row(2).for_each([&](const msgpack::object& each) {
                 batch.commands.push_back(read_command(msgpack_row(each), payloads));
             });
--- a/src/scheduling/command_codec.h
+++ b/src/scheduling/command_codec.h
@@ -4,6 +4,7 @@
 #include <variant>
 #include <vector>
 
+#include "common/clock.h"
 #include "common/error.h"
 #include "scheduling/messages.h"
 
@@ -19,8 +20,12 @@
 
 /// Commands of one owner, in the order in which they were decided.
 struct command_batch {
+    static constexpr common::milliseconds max_result_delay{100}; ///< a longer one is cut to this
+
     std::int64_t token = 0; ///< fencing token; workers reject commands with an older one
     std::vector<numbered_command> commands;
+    /// How much longer than usual a relay gathers results, because the owner lags.
+    common::milliseconds result_delay{0};
 
     friend bool operator==(const command_batch&, const command_batch&) = default;
 };
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -102,6 +102,11 @@
     this->authority_until = std::max(this->authority_until, until);
 }
 
+void scheduler::set_batch_window(common::milliseconds window)
+{
+    this->batch_window = window;
+}
+
 void scheduler::confirm_input(common::steady_time as_of)
 {
     this->input_confirmed_at = std::max(this->input_confirmed_at, as_of);
@@ -187,7 +192,7 @@
     journal_lane& lane = this->lanes[number];
     const bool full = lane.changed.size() >= max_batch_entries;
     if (lane.batch_in_flight || lane.changed.size() == 0 ||
-        (!full && now < lane.last_flush + flush_interval)) {
+        (!full && now < lane.last_flush + flush_interval + this->batch_window)) {
         return;
     }
     lane.last_flush = now;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -63,6 +63,10 @@
     /// Allows starts until this time. Leases end at most `lease_duration` after it.
     void extend_authority(common::steady_time until);
 
+    /// Spaces journal writes, polls of a worker and dispatch rounds by this much more than usual,
+    /// so that an owner without enough processor time has fewer of them. Leases are not affected.
+    void set_batch_window(common::milliseconds window);
+
     /// Records that all jobs and cancellations stored before `as_of` have been passed on.
     void confirm_input(common::steady_time as_of);
 
@@ -229,12 +233,12 @@
     worker_state* find_worker(const worker_instance& instance);
     void update_worker(const worker_entry& entry, common::steady_time now);
     void poll_if_due(worker_state& worker, common::steady_time now);
+    void poll_due_workers(common::steady_time now);
+    void schedule_poll(worker_state& worker, common::steady_time at);
     void reconcile_running(worker_state& worker, const poll_result& answer,
                            common::steady_time now);
     void reconcile_missing(worker_state& worker, const poll_result& answer);
     void throttle_best_effort_runs(worker_state& worker, common::steady_time now);
-    void poll_due_workers(common::steady_time now);
-    void schedule_poll(worker_state& worker, common::steady_time at);
     void mark_runs_lost(worker_state& worker, std::string_view why);
     void expire_workers(common::steady_time now);
     void request_stop(const jobs::task_id& task, open_run& run, common::steady_time now);
@@ -294,6 +298,7 @@
     common::steady_time authority_until;
     common::steady_time input_confirmed_at;
     common::steady_time last_now;
+    common::milliseconds batch_window{0};
     /// Stops of an earlier owner have taken effect by this time.
     common::steady_time earlier_stops_until;
     std::int64_t last_unix_ms = 0;
@@ -301,15 +306,15 @@
     best_effort_throttle throttle;
     scheduler_counters totals;
     bool dispatch_due = true;
+    common::steady_time next_scan; ///< of all workers
+    /// Polls that may become due before the next scan, by worker.
+    std::vector<std::pair<common::steady_time, std::string>> early_polls;
     common::steady_time next_dispatch;     ///< dispatches then at the latest
     common::steady_time earliest_dispatch; ///< spaces rounds, which take long for a backlog
     common::steady_time earliest_reaction; ///< spaces the rounds that events cause
     std::optional<dispatch_round> round;   ///< set while tasks are placed
     bool fenced = false;
     std::vector<action> actions;
-    common::steady_time next_scan; ///< of all workers
-    /// Polls that may become due before the next scan, by worker.
-    std::vector<std::pair<common::steady_time, std::string>> early_polls;
 };
 
 } // namespace chervilslip::scheduling
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -143,8 +143,8 @@
     const common::milliseconds gap(static_cast<std::int64_t>(ranked_jobs.size()) /
                                    waiting_jobs_per_ms);
     this->earliest_dispatch = now + std::min(gap, max_dispatch_gap);
-    this->earliest_reaction =
-        now + reaction_gap + common::milliseconds(this->workers.size() / workers_per_ms);
+    this->earliest_reaction = now + reaction_gap + this->batch_window +
+                              common::milliseconds(this->workers.size() / workers_per_ms);
     ++this->totals.dispatch_rounds;
     this->totals.jobs_ranked += ranked_jobs.size();
     this->index_pools();
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -232,7 +232,8 @@
     this->throttle_best_effort_runs(*worker, now);
     common::milliseconds pause{0};
     if (!first && !was_unresponsive) {
-        pause = worker->pending_ends.empty() ? poll_interval : uncommitted_poll_interval;
+        pause = worker->pending_ends.empty() ? poll_interval + this->batch_window
+                                             : uncommitted_poll_interval;
     }
     this->schedule_poll(*worker, now + pause);
     this->dispatch_due = this->dispatch_due || first;
--- a/src/scheduling/tests/command_codec_tests.cpp
+++ b/src/scheduling/tests/command_codec_tests.cpp
@@ -51,6 +51,24 @@
     cr_assert(decode_commands(encode_commands(many), "peer").value() == many);
 }
 
+Test(command_codec, a_delay_of_results_is_written_only_if_there_is_one)
+{
+    // given
+    command_batch batch{9, {{1, make_start(0)}}, common::milliseconds(0)};
+    const std::string calm = encode_commands(batch);
+    batch.result_delay = common::milliseconds(40);
+    const std::string lagging = encode_commands(batch);
+    batch.result_delay = common::milliseconds(60'000);
+
+    // when, then: earlier versions write and expect three fields, and ignore further ones
+    cr_assert(calm.front() == '\x93');
+    cr_assert(lagging.front() == '\x94');
+    cr_assert(lagging.substr(1, calm.size() - 1) == calm.substr(1));
+    cr_assert(decode_commands(lagging, "peer").value().result_delay == common::milliseconds(40));
+    cr_assert(decode_commands(encode_commands(batch), "peer").value().result_delay ==
+              command_batch::max_result_delay);
+}
+
 Test(command_codec, results_are_unchanged_by_encoding_and_decoding)
 {
     // given
--- a/src/scheduling/tests/dispatch_cost_tests.cpp
+++ b/src/scheduling/tests/dispatch_cost_tests.cpp
@@ -32,6 +32,30 @@
     return fixture.under_test.counters().dispatch_rounds - before;
 }
 
+/// Returns the journal writes of a second in which a job is submitted and another one cancelled
+/// every two milliseconds.
+int writes_of_a_busy_second(milliseconds window)
+{
+    scheduler_fixture fixture(make_workers(4));
+    fixture.answer_first_polls();
+    scheduler& under_test = fixture.under_test;
+    under_test.set_batch_window(window);
+    int writes = 0;
+    for (std::int64_t ms = 2; ms < 1000; ms += 2) {
+        const steady_time now = time_at(fixture.now_ms + ms);
+        under_test.submit_job(make_job("j" + std::to_string(ms)), now);
+        under_test.cancel_job("j" + std::to_string(ms - 2), now);
+        under_test.tick(now, start_unix_ms + fixture.now_ms + ms);
+        for (const action& each : under_test.take_actions()) {
+            if (const auto* write = std::get_if<journal_write>(&each)) {
+                ++writes;
+                under_test.handle_journal_commit(write->batch, now);
+            }
+        }
+    }
+    return writes;
+}
+
 } // namespace
 
 Test(dispatch_cost, a_worker_is_polled_when_due_though_all_are_scanned_less_often)
@@ -52,6 +76,14 @@
     }
 }
 
+Test(dispatch_cost, journal_writes_become_fewer_when_the_owner_lags)
+{
+    const int calm = writes_of_a_busy_second(milliseconds(0));
+    const int lagging = writes_of_a_busy_second(milliseconds(40));
+    cr_assert(lagging * 2 < calm, "%d of %d writes", lagging, calm);
+    cr_assert(lagging > 0);
+}
+
 Test(dispatch_cost, rounds_are_rarer_the_more_workers_a_round_visits)
 {
     const std::uint64_t small = rounds_of_a_busy_second(2);
