--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -14,10 +14,11 @@
 /// Minimum time between journal writes, so that a burst of ended runs needs one write.
 constexpr common::milliseconds flush_interval{25};
 
-/// In a fleet of up to this many workers every task is logged. In a larger one that would take much
-/// of the owner's processor, so a share of the jobs is traced, and those with trouble.
+/// In a fleet of up to this many workers every job and task is logged. In a larger one that would
+/// take much of the owner's processor, so a share of the jobs is traced, and those with trouble
+/// while the owner keeps up: trouble makes most lines when the owner can least afford them.
 constexpr std::size_t max_workers_to_trace_all = 100;
-constexpr std::size_t jobs_per_traced_job = 16;
+constexpr std::size_t jobs_per_traced_job = 64;
 
 /// Maximum time that a command of an earlier owner can be in flight, over a slow link to a busy
 /// worker.
@@ -102,6 +103,11 @@
     this->authority_until = std::max(this->authority_until, until);
 }
 
+void scheduler::set_batch_window(common::milliseconds window)
+{
+    this->batch_window = window;
+}
+
 void scheduler::confirm_input(common::steady_time as_of)
 {
     this->input_confirmed_at = std::max(this->input_confirmed_at, as_of);
@@ -144,10 +150,7 @@
 {
     this->last_now = now;
     this->last_unix_ms = unix_ms;
-    for (auto& [id, worker] : this->workers) {
-        this->poll_if_due(worker, now);
-    }
-    this->expire_workers(now);
+    this->poll_due_workers(now);
     this->dispatch_if_due(now, this->earliest_dispatch);
     this->flush_journal(now);
 }
@@ -217,7 +220,7 @@
     journal_lane& lane = this->lanes[number];
     const bool full = lane.changed.size() >= max_batch_entries;
     if (lane.batch_in_flight || lane.changed.size() == 0 ||
-        (!full && now < lane.last_flush + flush_interval)) {
+        (!full && now < lane.last_flush + flush_interval + this->batch_window)) {
         return;
     }
     lane.last_flush = now;
@@ -286,7 +289,7 @@
         }
         worker->second.acknowledge_durable();
         if (!worker->second.poll_in_flight && worker->second.pending_ends.empty()) {
-            worker->second.next_poll = std::min(worker->second.next_poll, now);
+            this->schedule_poll(worker->second, std::min(worker->second.next_poll, now));
         }
     }
     this->send_batch_starts(lane, now);
@@ -360,11 +363,17 @@
 bool scheduler::is_traced(const active_job& job) const
 {
     const job_history& history = job.history;
+    const bool has_trouble = history.failed + history.lost + history.refused > 0;
     return this->workers.size() <= max_workers_to_trace_all ||
-           history.failed + history.lost + history.refused > 0 ||
+           (has_trouble && this->batch_window.count() == 0) ||
            std::hash<std::string>{}(job.spec.id) % jobs_per_traced_job == 0;
 }
 
+bool scheduler::is_trouble_logged(const active_job& job) const
+{
+    return this->batch_window.count() == 0 || this->is_traced(job);
+}
+
 std::string scheduler::describe_end(const active_job& job) const
 {
     const job_history& history = job.history;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -63,6 +63,10 @@
     /// Allows starts until this time. Leases end at most `lease_duration` after it.
     void extend_authority(common::steady_time until);
 
+    /// Spaces journal writes, polls of a worker and dispatch rounds by this much more than usual,
+    /// so that an owner without enough processor time has fewer of them. Leases are not affected.
+    void set_batch_window(common::milliseconds window);
+
     /// Records that all jobs and cancellations stored before `as_of` have been passed on.
     void confirm_input(common::steady_time as_of);
 
@@ -243,6 +247,8 @@
     worker_state* find_worker(const worker_instance& instance);
     void update_worker(const worker_entry& entry, common::steady_time now);
     void poll_if_due(worker_state& worker, common::steady_time now);
+    void poll_due_workers(common::steady_time now);
+    void schedule_poll(worker_state& worker, common::steady_time at);
     void reconcile_running(worker_state& worker, const poll_result& answer,
                            common::steady_time now);
     void reconcile_missing(worker_state& worker, const poll_result& answer);
@@ -289,6 +295,7 @@
 
     void record(decision_record::kind what, std::string subject, std::string detail);
     [[nodiscard]] bool is_traced(const active_job& job) const;
+    [[nodiscard]] bool is_trouble_logged(const active_job& job) const;
     [[nodiscard]] std::string describe_end(const active_job& job) const;
 
     scheduler_options options;
@@ -307,6 +314,7 @@
     common::steady_time input_confirmed_at;
     std::int64_t newest_stale_revision = 0; ///< notifications up to it are ignored
     common::steady_time last_now;
+    common::milliseconds batch_window{0};
     /// Stops of an earlier owner have taken effect by this time.
     common::steady_time earlier_stops_until;
     std::int64_t last_unix_ms = 0;
@@ -314,6 +322,9 @@
     best_effort_throttle throttle;
     scheduler_counters totals;
     bool dispatch_due = true;
+    common::steady_time next_scan; ///< of all workers
+    /// Polls that may become due before the next scan, by worker.
+    std::vector<std::pair<common::steady_time, std::string>> early_polls;
     common::steady_time next_dispatch;     ///< dispatches then at the latest
     common::steady_time earliest_dispatch; ///< spaces rounds, which take long for a backlog
     common::steady_time earliest_reaction; ///< spaces the rounds that events cause
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -143,8 +143,8 @@
     const common::milliseconds gap(static_cast<std::int64_t>(ranked_jobs.size()) /
                                    waiting_jobs_per_ms);
     this->earliest_dispatch = now + std::min(gap, max_dispatch_gap);
-    this->earliest_reaction =
-        now + reaction_gap + common::milliseconds(this->workers.size() / workers_per_ms);
+    this->earliest_reaction = now + reaction_gap + this->batch_window +
+                              common::milliseconds(this->workers.size() / workers_per_ms);
     ++this->totals.dispatch_rounds;
     this->totals.jobs_ranked += ranked_jobs.size();
     this->index_pools();
@@ -271,6 +271,9 @@
     worker_state* best = nullptr;
     double best_cost = 0;
     for (worker_state* worker : this->round->usable_in(request.pool)) {
+        if (!worker->has_room_for(request.size)) {
+            continue; // most workers, when it matters
+        }
         const std::string& id = worker->entry.instance.id;
         const auto claimed = reserved.find(id);
         const auto same_vm = on_vm.find(id);
