Refuse new jobs in proportion while the owner lacks processor time

Cause: nothing was refused at any load. With all nodes at 1/2.5 of their speed for 36 s the owner accepted everything, its queues grew, and nearly every quick job was late.

Change: the owner estimates from the round trips of its starts and the mean lateness of its timer whether it is overloaded, and then which share of the offered tasks it handles. Long-running and scheduled jobs are not refused. A refusal is checked by a transaction without writes, and every accepting write is conditional on the revision of the share, so that no earlier submission of a refused job can take effect (docs/decisions/0012-admission.md). Nothing is written while the owner is calm.

--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -38,6 +38,8 @@
     takeover_read = 3104,
     journal_failed = 3105,
     owner_behind = 3106,
+    admission_changed = 3107,
+    admission_unreadable = 3108,
     vm_list_failed = 4001,
     vm_leaving = 4002,
     upstream_ejected = 5001,
@@ -51,6 +53,7 @@
     job_taken = 5104,
     job_ended = 5105,
     job_cancelled = 5106,
+    job_shed = 5107,
     task_started = 5201,
     task_ended = 5202,
     task_lost = 5203,
@@ -78,7 +81,7 @@
     severity level;
 };
 
-inline constexpr std::array<event_entry, 56> event_catalogue{{
+inline constexpr std::array<event_entry, 59> event_catalogue{{
     {event_id::node_started, "node_started", severity::info},
     {event_id::node_ready, "node_ready", severity::info},
     {event_id::node_stopping, "node_stopping", severity::info},
@@ -113,12 +116,15 @@
     {event_id::takeover_read, "takeover_read", severity::info},
     {event_id::journal_failed, "journal_failed", severity::warning},
     {event_id::owner_behind, "owner_behind", severity::warning},
+    {event_id::admission_changed, "admission_changed", severity::warning},
+    {event_id::admission_unreadable, "admission_unreadable", severity::warning},
     {event_id::job_accepted, "job_accepted", severity::info},
     {event_id::job_refused, "job_refused", severity::info},
     {event_id::job_unknown_fate, "job_unknown_fate", severity::warning},
     {event_id::job_taken, "job_taken", severity::info},
     {event_id::job_ended, "job_ended", severity::info},
     {event_id::job_cancelled, "job_cancelled", severity::info},
+    {event_id::job_shed, "job_shed", severity::info},
     {event_id::task_started, "task_started", severity::info},
     {event_id::task_ended, "task_ended", severity::info},
     {event_id::task_lost, "task_lost", severity::warning},
--- a/src/daemon/fleet_metrics.cpp
+++ b/src/daemon/fleet_metrics.cpp
@@ -29,6 +29,10 @@
                        .Name("chervilslip_call_seconds")
                        .Help("Time from a caller's whole request to its answer")
                        .Register(this->registry)),
+      jobs_refused(prometheus::BuildCounter()
+                       .Name("chervilslip_jobs_refused_total")
+                       .Help("Jobs that this node has refused, by reason")
+                       .Register(this->registry)),
       store_calls(prometheus::BuildCounter()
                       .Name("chervilslip_store_calls_total")
                       .Help("Calls to the store by way and outcome")
@@ -59,6 +63,11 @@
     this->call_seconds.Add({{"call", what}}, latency_buckets).Observe(seconds(taken));
 }
 
+void fleet_metrics::add_shed_job()
+{
+    this->jobs_refused.Add({{"reason", "overload"}}).Increment();
+}
+
 void fleet_metrics::add_store_call(const std::string& route, const std::string& outcome,
                                    common::milliseconds taken)
 {
@@ -110,6 +119,11 @@
     this->node.Add({{"value", "store_contact_age_seconds"}})
         .Set(seconds(current.store_contact_age));
     this->node.Add({{"value", "owner_lag_seconds"}}).Set(seconds(current.owner_lag));
+    this->node.Add({{"value", "admission_share"}}).Set(current.admission_share);
+    this->node.Add({{"value", "owner_start_round_trip_seconds"}})
+        .Set(seconds(current.owner_signals.round_trip));
+    this->node.Add({{"value", "owner_mean_lag_seconds"}})
+        .Set(seconds(current.owner_signals.timer_lag));
     this->set_scheduler_gauges(current.active_scheduler);
     return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
--- a/src/daemon/fleet_metrics.h
+++ b/src/daemon/fleet_metrics.h
@@ -4,6 +4,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include "admission/admission_controller.h"
 #include "scheduling/scheduler.h"
 
 namespace chervilslip::daemon {
@@ -16,6 +17,9 @@
     /// Records a client's call. `what` is the HTTP method, `outcome` the status of the response.
     void add_call(const std::string& what, const std::string& outcome, common::milliseconds taken);
 
+    /// Records a job that was refused because the owner is overloaded.
+    void add_shed_job();
+
     /// Records a call to the store. `route` is the route that answered, or "none".
     void add_store_call(const std::string& route, const std::string& outcome,
                         common::milliseconds taken);
@@ -26,6 +30,8 @@
         std::int64_t configuration_version = 0;
         common::milliseconds store_contact_age{0};
         common::milliseconds owner_lag{0}; ///< of its timer, at most since the last reading
+        double admission_share = 1.0;      ///< that this node applies to new jobs
+        admission::controller_signals owner_signals; ///< zero unless this node owns the fleet
         /// Null unless this node owns the fleet.
         const scheduling::scheduler* active_scheduler = nullptr;
 
@@ -41,6 +47,7 @@
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter>& calls;
     prometheus::Family<prometheus::Histogram>& call_seconds;
+    prometheus::Family<prometheus::Counter>& jobs_refused;
     prometheus::Family<prometheus::Counter>& store_calls;
     prometheus::Family<prometheus::Histogram>& store_seconds;
     prometheus::Family<prometheus::Gauge>& node;
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -59,7 +59,7 @@
                   injected.claim, injected.controller_options},
                  {this->identity.name, this->identity.incarnation},
                  this->identity.peer_endpoint.to_string(), seed),
-      client_frontend(injected.store, *this, injected.log,
+      client_frontend(injected.store, *this, injected.log, this->owner_host.admission_gate(),
                       [this] { return this->dependencies.transport.is_unreachable(); })
 {
     this->owner_host.on_owner_change([this](const ownership::claim_record& owner) {
@@ -120,6 +120,10 @@
         this->dependencies.clock.steady_now() - this->last_store_contact);
     current.active_scheduler = this->owner_host.active_scheduler();
     current.owner_lag = this->owner_host.take_lag();
+    current.admission_share = this->owner_host.admission_gate().share();
+    if (const auto* controller = this->owner_host.admission_controller()) {
+        current.owner_signals = controller->signals();
+    }
     return this->dependencies.metrics.text(current);
 }
 
--- a/src/daemon/job_frontend.cpp
+++ b/src/daemon/job_frontend.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-/// Jobs that fit into one transaction: each takes two conditions and one value.
+/// Jobs that fit into one transaction: each takes two conditions and one value, beside the
+/// conditions on the admission share and the claim.
 constexpr std::size_t max_jobs_per_batch = 8;
 
 /// Maximum attempts to write a job while no response arrives. Every attempt has the same
@@ -23,8 +24,10 @@
 } // namespace
 
 job_frontend::job_frontend(store::transactional_store& job_store, owner_client& fleet_owner,
-                           const common::event_log& logger, std::function<bool()> is_lost)
-    : store(job_store), owner(fleet_owner), log(logger), store_lost(std::move(is_lost))
+                           const common::event_log& logger, admission::admission_gate& admissions,
+                           std::function<bool()> is_lost)
+    : store(job_store), owner(fleet_owner), log(logger), gate(admissions),
+      store_lost(std::move(is_lost))
 {
 }
 
@@ -37,7 +40,7 @@
 {
     ++this->open_call_count;
     std::string encoded = jobs::encode_job(submitted);
-    this->queue.push_back({std::move(submitted), std::move(encoded), std::move(done), 0});
+    this->queue.push_back({std::move(submitted), std::move(encoded), std::move(done)});
     this->reject_unsent();
     this->write_next_batch();
 }
@@ -68,6 +71,7 @@
     std::vector<pending_job> batch;
     std::set<std::string> ids;
     store::transaction changes;
+    bool any_shed = false;
     while (!this->queue.empty() && batch.size() < max_jobs_per_batch &&
            ids.insert(this->queue.front().job.id).second) {
         pending_job each = std::move(this->queue.front());
@@ -75,10 +79,15 @@
         const std::string key = store_keys::make_key(store_keys::jobs, each.job.id);
         changes.expected.push_back({key, 0});
         changes.expected.push_back({store_keys::make_key(store_keys::closed, each.job.id), 0});
-        changes.set.push_back({key, each.encoded, 0});
+        each.shed = this->is_shed(each.job);
+        if (!each.shed) {
+            changes.set.push_back({key, each.encoded, 0});
+        }
+        any_shed = any_shed || each.shed;
         ++each.attempts;
         batch.push_back(std::move(each));
     }
+    this->add_admission_conditions(changes, any_shed);
     this->store.commit(changes, [this, batch = std::move(batch)](
                                     common::result<store::commit_outcome> outcome) mutable {
         this->writing = false;
@@ -88,6 +97,41 @@
     });
 }
 
+bool job_frontend::is_shed(const jobs::job& submitted) const
+{
+    return admission::may_be_refused(submitted) && !this->gate.admits(submitted.id);
+}
+
+void job_frontend::add_admission_conditions(store::transaction& changes, bool any_shed) const
+{
+    // An earlier submission of a job may still be under way to the store. Because each write
+    // depends on the share that it was decided under, none under an earlier share takes effect once
+    // this transaction has been committed.
+    changes.expected.push_back({std::string(store_keys::admission), this->gate.revision()});
+    if (any_shed) {
+        changes.expected.push_back({std::string(store_keys::claim), this->gate.token()});
+    }
+}
+
+void job_frontend::observe_admission(const std::map<std::string, const store::item*>& present,
+                                     bool claim_was_expected)
+{
+    const auto share = present.find(std::string(store_keys::admission));
+    if (share == present.end()) {
+        this->gate.observe_share({}, 0);
+    } else {
+        const auto value = admission::decode_share(share->second->value);
+        this->gate.observe_share(value ? value.value() : admission::published_share{},
+                                 share->second->revision);
+    }
+    const auto claim = present.find(std::string(store_keys::claim));
+    if (claim != present.end()) {
+        this->gate.observe_claim(claim->second->created_revision, claim->second->revision);
+    } else if (claim_was_expected) {
+        this->gate.observe_claim_end();
+    }
+}
+
 void job_frontend::handle_write_result(std::vector<pending_job> batch,
                                        common::result<store::commit_outcome> outcome)
 {
@@ -107,6 +151,10 @@
     }
     if (outcome.value().committed) {
         for (pending_job& each : batch) {
+            if (each.shed) {
+                this->complete(each, job_call_result::overloaded);
+                continue;
+            }
             this->owner.notify_job(each.job);
             this->complete(each, job_call_result::accepted);
         }
@@ -118,6 +166,8 @@
             present[each.key] = &each;
         }
     }
+    this->observe_admission(present, std::any_of(batch.begin(), batch.end(),
+                                                 [](const auto& each) { return each.shed; }));
     for (pending_job& each : batch) {
         const auto open = present.find(store_keys::make_key(store_keys::jobs, each.job.id));
         if (open != present.end()) {
@@ -128,7 +178,7 @@
         } else if (present.contains(store_keys::make_key(store_keys::closed, each.job.id))) {
             this->complete(each, job_call_result::accepted);
         } else {
-            --each.attempts; // another job failed the batch; this one was not written
+            --each.attempts; // another job or a changed share failed the batch
             this->queue.push_front(std::move(each));
         }
     }
@@ -145,6 +195,9 @@
     case job_call_result::accepted:
         this->log.write(common::event_id::job_accepted, fields);
         break;
+    case job_call_result::overloaded:
+        this->log.write(common::event_id::job_shed, fields);
+        break;
     case job_call_result::unknown:
         this->log.write(common::event_id::job_unknown_fate, fields);
         break;
--- a/src/daemon/job_frontend.h
+++ b/src/daemon/job_frontend.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "admission/admission_gate.h"
 #include "common/event_log.h"
 #include "daemon/fleet_configuration.h"
 #include "daemon/peer_client.h"
@@ -14,10 +15,11 @@
 
 /// Result of a client's call.
 enum class job_call_result {
-    accepted, ///< durable; also when the job had been submitted before
-    conflict, ///< the ID belongs to a job of another team or queue
-    rejected, ///< nothing was written; this call never takes effect
-    unknown,  ///< may have been accepted
+    accepted,   ///< durable; also when the job had been submitted before
+    conflict,   ///< the ID belongs to a job of another team or queue
+    rejected,   ///< nothing was written; this call never takes effect
+    overloaded, ///< as `rejected`, and no earlier submission of the job has taken or takes effect
+    unknown,    ///< may have been accepted
     no_such_job,
 };
 
@@ -48,9 +50,11 @@
 public:
     /// `store_lost` returns whether the store is unreachable on every route. Jobs that have not
     /// been sent to the store are rejected then, because the outcome of sending them would be
-    /// unknown. Precondition: all references outlive the frontend.
+    /// unknown. `gate` says which new jobs are accepted; the frontend updates it from the store's
+    /// responses. Precondition: all references outlive the frontend.
     job_frontend(store::transactional_store& job_store, owner_client& owner,
-                 const common::event_log& log, std::function<bool()> store_lost);
+                 const common::event_log& log, admission::admission_gate& gate,
+                 std::function<bool()> store_lost);
 
     /// Persists a job. Precondition: the job has been validated.
     void submit(jobs::job submitted, std::function<void(job_call_result)> done);
@@ -74,12 +78,17 @@
         std::string encoded;
         std::function<void(job_call_result)> done;
         int attempts = 0;
+        bool shed = false; ///< to be refused because the owner is overloaded
     };
 
     void reject_unsent();
     void write_next_batch();
     void handle_write_result(std::vector<pending_job> batch,
                              common::result<store::commit_outcome> outcome);
+    [[nodiscard]] bool is_shed(const jobs::job& submitted) const;
+    void add_admission_conditions(store::transaction& changes, bool any_shed) const;
+    void observe_admission(const std::map<std::string, const store::item*>& present,
+                           bool claim_was_expected);
     void complete(pending_job& each, job_call_result call_result);
     void read_state(const std::string& id, store::handler<std::optional<jobs::job_state>> done);
     void read_closed(const std::string& id, store::handler<std::optional<jobs::job_state>> done);
@@ -87,6 +96,7 @@
     store::transactional_store& store;
     owner_client& owner;
     const common::event_log& log;
+    admission::admission_gate& gate;
     std::function<bool()> store_lost;
     std::deque<pending_job> queue;
     bool writing = false;
--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -177,6 +177,7 @@
         if (!failure && !this->stopped) {
             if (this->scheduler) {
                 this->observe_lag();
+                this->control_admission();
             }
             this->schedule_tick(); // first, so that an error in a tick does not end the ticks
             this->tick();
@@ -217,8 +218,8 @@
 void scheduler_host::follow_claim()
 {
     store::follower_callbacks hooks;
-    hooks.on_change = [this](const store::item_map& items, std::int64_t) {
-        this->handle_claim(items);
+    hooks.on_change = [this](const store::item_map& items, std::int64_t revision) {
+        this->handle_claim(items, revision);
     };
     this->claim_follower = std::make_unique<store::prefix_follower>(
         this->dependencies.context, this->dependencies.store, std::string(store_keys::claim),
@@ -226,8 +227,9 @@
     this->claim_follower->start();
 }
 
-void scheduler_host::handle_claim(const store::item_map& items)
+void scheduler_host::handle_claim(const store::item_map& items, std::int64_t revision)
 {
+    this->observe_admission(items, revision);
     const auto found = items.find(std::string(store_keys::claim));
     std::optional<ownership::claim_record> record;
     if (found != items.end()) {
@@ -341,6 +343,8 @@
     this->claim_lifetime.reset();
     this->scheduler.reset();
     this->controller.reset();
+    this->admission_control.reset();
+    this->publishing_share = false;
     this->takeover.reset();
     this->pending_writes.clear();
     this->input_follower.reset();
@@ -354,6 +358,7 @@
     if (this->scheduler) {
         this->known_input_keys.insert(store_keys::make_key(store_keys::jobs, accepted.id));
         ++this->handled.jobs;
+        this->note_job(accepted);
         this->scheduler->submit_job(accepted, this->now());
         this->react();
     }
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -3,6 +3,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "admission/admission_controller.h"
+#include "admission/admission_gate.h"
 #include "common/event_log.h"
 #include "daemon/fleet_configuration.h"
 #include "daemon/fleet_controller.h"
@@ -74,6 +76,12 @@
     /// Returns by how much the owner's timer was late at most since the last call.
     common::milliseconds take_lag();
 
+    /// Returns what entry nodes need to decide about new jobs, kept up to date from the store.
+    [[nodiscard]] admission::admission_gate& admission_gate();
+
+    /// Returns the controller of admissions while this node owns the fleet; null otherwise.
+    [[nodiscard]] const admission::admission_controller* admission_controller() const;
+
     /// Passes a durable job or cancellation to the scheduler. Does nothing unless this node owns
     /// the fleet.
     void handle_job(const jobs::job& accepted);
@@ -106,7 +114,7 @@
     void put_claim(std::uint64_t lease);
     void renew(std::uint64_t lease);
     void follow_claim();
-    void handle_claim(const store::item_map& items);
+    void handle_claim(const store::item_map& items, std::int64_t revision);
     void revoke_stale_claim(const store::item& claim, const ownership::claim_record& record);
 
     void begin_takeover(std::int64_t token);
@@ -123,6 +131,12 @@
     void handle_closed_page(common::result<store::range_page> page);
     void delete_closed_jobs(std::vector<std::string> keys);
 
+    void observe_admission(const store::item_map& items, std::int64_t revision);
+    void control_admission();
+    void note_job(const jobs::job& received);
+    void publish_share(double share);
+    void send_start(const scheduling::start_command& command);
+
     void react();
     void observe_lag();
     void execute_actions();
@@ -167,6 +181,9 @@
     std::unique_ptr<takeover_state> takeover;
     std::unique_ptr<scheduling::scheduler> scheduler;
     std::unique_ptr<fleet_controller> controller;
+    admission::admission_gate gate;
+    std::unique_ptr<admission::admission_controller> admission_control;
+    bool publishing_share = false;
     std::set<std::string> known_input_keys;
     /// Events that the owner has handled since it last reported its lag.
     struct handled_events {
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -128,12 +128,7 @@
                 this->react();
             }));
     } else if (auto* start = std::get_if<scheduling::start_command>(&what)) {
-        this->dependencies.workers.start(
-            *start, this->token, this->bind_to_claim([this](scheduling::command_result answer) {
-                ++this->handled.starts;
-                this->scheduler->handle_start_result(answer, this->now());
-                this->react();
-            }));
+        this->send_start(*start);
     } else if (auto* stop = std::get_if<scheduling::stop_command>(&what)) {
         this->dependencies.workers.stop(
             *stop, this->token, this->bind_to_claim([this](scheduling::command_result answer) {
@@ -155,6 +150,20 @@
     }
 }
 
+void scheduler_host::send_start(const scheduling::start_command& command)
+{
+    this->admission_control->on_command_sent();
+    this->dependencies.workers.start(
+        command, this->token,
+        this->bind_to_claim([this, sent_at = this->now()](scheduling::command_result answer) {
+            ++this->handled.starts;
+            this->admission_control->on_command_completed(
+                std::chrono::duration_cast<common::milliseconds>(this->now() - sent_at));
+            this->scheduler->handle_start_result(answer, this->now());
+            this->react();
+        }));
+}
+
 void scheduler_host::log_decision(const scheduling::decision_record& decision)
 {
     this->dependencies.log.write_lazily(event_of(decision.event), [&] {
--- a/src/daemon/scheduler_host_takeover.cpp
+++ b/src/daemon/scheduler_host_takeover.cpp
@@ -139,6 +139,7 @@
         } else if (key.starts_with(store_keys::jobs)) {
             const auto job = jobs::decode_job(each.value, key);
             if (job) {
+                this->note_job(job.value());
                 this->scheduler->submit_job(job.value(), this->now());
             } else {
                 this->dependencies.log.write(event_id::journal_failed,
@@ -160,6 +161,7 @@
     scheduling::scheduler_options options = this->dependencies.scheduling_options;
     options.token = this->token;
     this->scheduler = std::make_unique<scheduling::scheduler>(options);
+    this->admission_control = std::make_unique<admission::admission_controller>(this->now());
     std::vector<scheduling::stored_job> stored;
     for (const auto& [key, each] : read->input) {
         this->known_input_keys.insert(key);
--- a/src/daemon/store_keys.h
+++ b/src/daemon/store_keys.h
@@ -6,6 +6,9 @@
 namespace chervilslip::daemon::store_keys {
 
 inline constexpr std::string_view claim = "chervilslip/claim"; ///< bound to the owner's lease
+/// Share of new jobs that entry nodes accept. Below the claim's key, so that the watch of the claim
+/// covers it. Never deleted: its revision tells shares apart (docs/decisions/0012).
+inline constexpr std::string_view admission = "chervilslip/claim/admission";
 /// Head of the first journal lane. A head serializes the owner's writes of its lane.
 inline constexpr std::string_view journal = "chervilslip/chain";
 inline constexpr std::string_view input = "chervilslip/in/"; ///< written by nodes that accept jobs
--- a/src/daemon/tests/job_frontend_tests.cpp
+++ b/src/daemon/tests/job_frontend_tests.cpp
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include "daemon/job_frontend.h"
+#include "daemon/store_keys.h"
 #include "fakes/revision_store.h"
 
 namespace {
@@ -31,6 +32,7 @@
                 store::handler<store::commit_outcome> done) override
     {
         ++this->commits;
+        this->last_transaction = changes;
         if (this->withhold_responses) {
             this->unanswered.push_back(std::move(done));
         } else {
@@ -52,6 +54,7 @@
 
     fakes::revision_store items;
     std::vector<store::handler<store::commit_outcome>> unanswered;
+    store::transaction last_transaction;
     int commits = 0;
     bool withhold_responses = false;
 };
@@ -83,8 +86,9 @@
     fake_store store;
     fake_owner_client owner;
     common::event_log log{"test"};
+    admission::admission_gate gate;
     bool store_unreachable = false;
-    daemon::job_frontend frontend{this->store, this->owner, this->log, [this] {
+    daemon::job_frontend frontend{this->store, this->owner, this->log, this->gate, [this] {
                                       return this->store_unreachable;
                                   }};
 
@@ -162,4 +166,141 @@
     cr_assert(fixture.frontend.open_calls() == 0);
 }
 
+/// Publishes a share as the owner of claim 1 does, and lets the frontend's watch see it.
+void publish_share(frontend_fixture& fixture, double share)
+{
+    store::transaction changes;
+    const std::string claim(daemon::store_keys::claim);
+    if (!fixture.store.items.read(claim)) {
+        changes.set.push_back({claim, "{}", 0});
+    }
+    const auto token = fixture.store.items.read(claim)
+                           ? fixture.store.items.read(claim)->created_revision
+                           : fixture.store.items.revision() + 1;
+    const admission::published_share value{share, token};
+    changes.set.push_back(
+        {std::string(daemon::store_keys::admission), admission::encode_share(value), 0});
+    const auto outcome = fixture.store.items.commit(changes);
+    fixture.gate.observe_claim(token, outcome.value().revision);
+    fixture.gate.observe_share(value, outcome.value().revision);
+}
+
+/// The share below which "j1" is refused by the gate in these tests.
+constexpr double tiny_share = 0.0001;
+
+Test(job_frontend, a_job_is_refused_under_overload_without_being_written)
+{
+    // given
+    frontend_fixture fixture;
+    publish_share(fixture, tiny_share);
+
+    // when, then
+    cr_assert(fixture.submit_job("j1") == job_call_result::overloaded);
+    cr_assert(fixture.owner.notifications == 0);
+    cr_assert(
+        !fixture.store.items.read(daemon::store_keys::make_key(daemon::store_keys::jobs, "j1")));
+
+    // when: the owner has recovered
+    publish_share(fixture, 1.0);
+
+    // then
+    cr_assert(fixture.submit_job("j1") == job_call_result::accepted);
+}
+
+Test(job_frontend, a_repeated_submission_of_an_accepted_job_is_not_refused_under_overload)
+{
+    // given
+    frontend_fixture fixture;
+    cr_assert(fixture.submit_job("j1") == job_call_result::accepted);
+
+    // when
+    publish_share(fixture, tiny_share);
+
+    // then
+    cr_assert(fixture.submit_job("j1") == job_call_result::accepted);
+}
+
+Test(job_frontend, a_write_from_before_the_overload_does_not_take_effect_after_a_refusal)
+{
+    // given: a submission whose write is delayed on its way to the store
+    frontend_fixture fixture;
+    fixture.store.withhold_responses = true;
+    fixture.submit_job("j1");
+    const store::transaction delayed = fixture.store.last_transaction;
+    fixture.store.withhold_responses = false;
+
+    // when: the caller repeats it at another node, which refuses it, and the delayed write arrives
+    publish_share(fixture, tiny_share);
+    daemon::job_frontend other(fixture.store, fixture.owner, fixture.log, fixture.gate,
+                               [] { return false; });
+    jobs::job job;
+    job.id = "j1";
+    job.steps.emplace_back();
+    std::optional<job_call_result> refusal;
+    other.submit(job, [&refusal](job_call_result got) { refusal = got; });
+    cr_assert(refusal == job_call_result::overloaded);
+    const auto late = fixture.store.items.commit(delayed);
+
+    // then: also when the share is full again
+    cr_assert(!late.value().committed);
+    publish_share(fixture, 1.0);
+    cr_assert(!fixture.store.items.commit(delayed).value().committed);
+}
+
+Test(job_frontend, a_node_with_an_outdated_share_decides_by_the_share_in_the_store)
+{
+    // given
+    frontend_fixture fixture;
+    publish_share(fixture, tiny_share);
+    admission::admission_gate outdated;
+    daemon::job_frontend other(fixture.store, fixture.owner, fixture.log, outdated,
+                               [] { return false; });
+    jobs::job job;
+    job.id = "j1";
+    job.steps.emplace_back();
+    std::optional<job_call_result> got;
+
+    // when
+    other.submit(job, [&got](job_call_result result) { got = result; });
+
+    // then
+    cr_assert(got == job_call_result::overloaded);
+}
+
+Test(job_frontend, nothing_is_refused_for_the_load_of_an_owner_that_has_gone)
+{
+    // given
+    frontend_fixture fixture;
+    publish_share(fixture, tiny_share);
+
+    // when: the claim ends, unknown to the node
+    store::transaction changes;
+    changes.remove.emplace_back(daemon::store_keys::claim);
+    cr_assert(fixture.store.items.commit(changes).value().committed);
+
+    // then
+    cr_assert(fixture.submit_job("j1") == job_call_result::accepted);
+}
+
+Test(job_frontend, long_running_and_scheduled_jobs_are_accepted_under_overload)
+{
+    // given
+    frontend_fixture fixture;
+    publish_share(fixture, tiny_share);
+    jobs::job lasting;
+    lasting.id = "j1";
+    lasting.steps.emplace_back().long_running = true;
+    jobs::job scheduled;
+    scheduled.id = "j2";
+    scheduled.steps.emplace_back();
+    scheduled.repeats = 3;
+
+    // when, then
+    for (const jobs::job& each : {lasting, scheduled}) {
+        std::optional<job_call_result> got;
+        fixture.frontend.submit(each, [&got](job_call_result result) { got = result; });
+        cr_assert(got == job_call_result::accepted);
+    }
+}
+
 } // namespace
