--- a/src/daemon/scheduler_host_takeover.cpp
+++ b/src/daemon/scheduler_host_takeover.cpp
@@ -143,6 +143,7 @@
                    !this->scheduler->state_of(key.substr(store_keys::jobs.size()))) {
             const auto job = jobs::decode_job(each.value, key);
             if (job) {
+                this->note_job(job.value());
                 this->scheduler->submit_job(job.value(), this->now());
             } else {
                 this->dependencies.log.write(event_id::journal_failed,
@@ -165,6 +166,7 @@
     scheduling::scheduler_options options = this->dependencies.scheduling_options;
     options.token = this->token;
     this->scheduler = std::make_unique<scheduling::scheduler>(options);
+    this->admission_control = std::make_unique<admission::admission_controller>(this->now());
     std::vector<scheduling::stored_job> stored;
     for (const auto& [key, each] : read->input) {
         if (!key.starts_with(store_keys::jobs)) {
