Drop starts and polls that a relay receives too late

What users could see: two runs of one task, or a start of a closed job, after a worker restarted under its id while a relay was paused or cut off from the owner.

Cause: an order names the worker's id, and its deadline and the numbers of the ends that it acknowledges mean something to one instance only. A relay passed on what it found in its connection, however old. On the next instance, whose clock and numbers begin anew, a start's deadline lies far ahead, and a poll acknowledges ends that the owner has never read, so that their tasks run again.

Change: a batch carries the time at which its first command was decided, on the owner's monotonic clock. A relay compares it with its own clock; the fastest batch of the connection counts as one that was not held up. Starts and paces over 1 s late and polls over 2.5 s late are dropped; the owner has given them up by then. Stops name their run and are passed on. Batches of earlier versions carry no time and are not checked, and earlier versions ignore it.

Evidence: without the comparison worker_relay::a_peer_that_was_paused_drops_starts_and_polls fails ("deliver(5100) == 1 is false"; 34 tested, 33 passing); with it chervilslip_daemon_tests 34 and chervilslip_scheduling_tests 53 passing. What the first batch of a connection was held up is not seen.

--- a/src/daemon/tests/worker_relay_tests.cpp
+++ b/src/daemon/tests/worker_relay_tests.cpp
@@ -237,4 +237,55 @@
     cr_assert(!outcome.has_value());
 }
 
+/// A clock that a test sets.
+class manual_clock final : public common::clock {
+public:
+    [[nodiscard]] common::steady_time steady_now() const override
+    {
+        return common::steady_time(milliseconds(this->now_ms));
+    }
+
+    [[nodiscard]] common::wall_time wall_now() const override
+    {
+        return common::wall_time(milliseconds(this->now_ms));
+    }
+
+    std::int64_t now_ms = 900'000;
+};
+
+Test(worker_relay, a_peer_that_was_paused_drops_starts_and_polls)
+{
+    // given a worker may have restarted in the meantime, with a clock that began anew
+    boost::asio::io_context context;
+    manual_clock clock;
+    const common::event_log log{"test"};
+    node relay(context, "relay", clock, log);
+    const auto deliver = [&relay](std::int64_t decided_at) {
+        scheduling::command_batch batch;
+        batch.token = 7;
+        batch.decided_at = milliseconds(decided_at);
+        batch.commands.push_back(
+            {1, scheduling::start_command{{"w0", 1}, "a", {"j", 0, 0, 0}, 1, "p", 9, "", ""}});
+        batch.commands.push_back({2, scheduling::poll_command{{"w0", 1}, "a", 5, {}, {}}});
+        batch.commands.push_back({3, scheduling::stop_command{{"w0", 1}, "a", {"j", 0, 0, 0}, 1}});
+        const int before = relay.direct_workers.commands;
+        relay.workers.handle_orders("owner", scheduling::encode_commands(batch));
+        return relay.direct_workers.commands - before;
+    };
+    cr_assert(deliver(5000) == 3);
+
+    // when
+    clock.now_ms += 4000;
+
+    // then only the stop is passed on, which names its run
+    cr_assert(deliver(5100) == 1);
+
+    // when commands are late, but polls still renew leases, then
+    cr_assert(deliver(7500) == 2);
+    cr_assert(deliver(9000) == 3);
+
+    // when an earlier version does not send the time, then
+    cr_assert(deliver(0) == 3);
+}
+
 } // namespace
--- a/src/daemon/worker_relay.cpp
+++ b/src/daemon/worker_relay.cpp
@@ -80,6 +80,7 @@
 {
     this->peers[peer.name] = {peer.zone, peer.is_ample};
     this->avoided_until.erase(peer.name);
+    this->delays.erase(peer.name);
     this->reset_assignment();
 }
 
@@ -193,6 +194,10 @@
         this->flush(); // a batch carries the token of a single claim
     }
     scheduling::command_batch& batch = this->outgoing[peer];
+    if (batch.commands.empty()) {
+        batch.decided_at = std::chrono::duration_cast<common::milliseconds>(
+            this->clock.steady_now().time_since_epoch());
+    }
     batch.token = token;
     batch.commands.push_back({number, command});
     this->schedule_flush();
@@ -390,9 +395,40 @@
         this->log.write(event_id::peer_refused, {{"error", decoded.error().to_string()}});
         return;
     }
+    const common::milliseconds delay = this->observe_delay(peer, decoded.value());
     for (const scheduling::numbered_command& each : decoded.value().commands) {
-        this->execute_command(peer, each, decoded.value().token);
+        if (this->is_too_late(each, delay)) {
+            this->queue_result(peer, {each.number, command_outcome::not_sent, 0, {}});
+        } else {
+            this->execute_command(peer, each, decoded.value().token);
+        }
+    }
+}
+
+common::milliseconds worker_relay::observe_delay(const std::string& peer,
+                                                 const scheduling::command_batch& batch)
+{
+    if (batch.decided_at.count() == 0) {
+        return {};
+    }
+    const auto delay = this->delays[peer].observe(batch.decided_at, this->clock.steady_now());
+    if (delay > this->options.max_command_delay) {
+        this->log.write(event_id::peer_refused,
+                        {{"error", "commands of " + peer + " arrived " +
+                                       std::to_string(delay.count()) + " ms late"}});
+    }
+    return delay;
+}
+
+bool worker_relay::is_too_late(const scheduling::numbered_command& numbered,
+                               common::milliseconds delay) const
+{
+    if (std::holds_alternative<scheduling::poll_command>(numbered.command)) {
+        return delay > this->options.max_poll_delay;
     }
+    // A stop names its run, so it does no harm later.
+    return !std::holds_alternative<scheduling::stop_command>(numbered.command) &&
+           delay > this->options.max_command_delay;
 }
 
 void worker_relay::execute_command(const std::string& peer,
--- a/src/daemon/worker_relay.h
+++ b/src/daemon/worker_relay.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "common/event_log.h"
+#include "daemon/message_delay.h"
 #include "membership/peer_network.h"
 #include "scheduling/command_codec.h"
 #include "scheduling/worker_port.h"
@@ -21,6 +22,10 @@
     /// Covers a worker's own timeout and the round trip to the peer.
     common::milliseconds command_timeout{800};
     common::milliseconds poll_timeout_margin{900}; ///< added to the wait of the poll itself
+    /// A peer drops commands that reach it later than this: the owner has given them up, and starts
+    /// have passed their deadline.
+    common::milliseconds max_command_delay{1000};
+    common::milliseconds max_poll_delay{2500};
     common::milliseconds avoid_interval{2000}; ///< a peer that did not respond is avoided this long
 
     /// So many workers of a zone share one relay. More of them make larger batches, which cost the
@@ -35,8 +40,9 @@
 /// Sends the owner's commands to workers: directly in a small fleet, through peers in a large one,
 /// so that the owner's processor time limits only its decisions. Each worker is assigned one peer,
 /// in its own zone if there is one. A command without a response from the peer has an unknown
-/// outcome. Everything in a command that must not happen late carries its own deadline, so a slow
-/// peer does no more harm than a slow link. Not thread safe: used on the io_context's thread.
+/// outcome. Everything in a command that must not happen late carries its own deadline, on the
+/// clock of the worker instance that it is meant for. A peer drops commands that were held up,
+/// because they may reach the next instance. Not thread safe: used on the io_context's thread.
 class worker_relay final : public scheduling::worker_port {
 public:
     /// Targets of the calls between peers that belong here.
@@ -104,6 +110,10 @@
     void queue_result(const std::string& peer, scheduling::numbered_result result);
     void execute_command(const std::string& peer, const scheduling::numbered_command& numbered,
                          std::int64_t token);
+    common::milliseconds observe_delay(const std::string& peer,
+                                       const scheduling::command_batch& batch);
+    [[nodiscard]] bool is_too_late(const scheduling::numbered_command& numbered,
+                                   common::milliseconds delay) const;
 
     boost::asio::io_context& context;
     const common::clock& clock;
@@ -123,6 +133,7 @@
     /// The peers that relay commands to the workers of a zone; empty until they are chosen.
     std::map<std::string, std::vector<std::string>> relays_of_zone;
     std::map<std::string, scheduling::command_batch> outgoing;
+    std::map<std::string, message_delay> delays; ///< of the batches that peers send
     std::map<std::string, std::vector<scheduling::numbered_result>> results;
     std::map<std::uint64_t, pending_command> pending; ///< by number
     std::uint64_t last_number;
--- a/src/scheduling/command_codec.cpp
+++ b/src/scheduling/command_codec.cpp
@@ -205,13 +205,14 @@
     const payload_table payloads(batch);
     std::string bytes;
     msgpack_writer to(bytes);
-    to.array(3).add(batch.token);
+    to.array(4).add(batch.token);
     payloads.write(to);
     to.array(batch.commands.size());
     command_writer writer(to, payloads);
     for (const numbered_command& each : batch.commands) {
         std::visit([&](const auto& command) { writer.write(each.number, command); }, each.command);
     }
+    to.add(batch.decided_at.count());
     return bytes;
 }
 
@@ -225,6 +226,9 @@
             source.row(2).for_each([&](const msgpack::object& each) {
                 batch.commands.push_back(read_command(msgpack_row(each), payloads));
             });
+            if (source.size() > 3) {
+                batch.decided_at = common::milliseconds(source.get<std::int64_t>(3));
+            }
             return batch;
         });
 }
--- a/src/scheduling/command_codec.h
+++ b/src/scheduling/command_codec.h
@@ -21,6 +21,9 @@
 struct command_batch {
     std::int64_t token = 0; ///< fencing token; workers reject commands with an older one
     std::vector<numbered_command> commands;
+    /// When the first command was decided, on the owner's monotonic clock; 0: unknown, in batches
+    /// of earlier versions.
+    common::milliseconds decided_at{0};
 
     friend bool operator==(const command_batch&, const command_batch&) = default;
 };
--- a/src/scheduling/tests/command_codec_tests.cpp
+++ b/src/scheduling/tests/command_codec_tests.cpp
@@ -20,6 +20,7 @@
     // given
     command_batch batch;
     batch.token = 9;
+    batch.decided_at = common::milliseconds(12'345);
     batch.commands.push_back(
         {1, poll_command{instance, "10.0.0.1:80", 4, 8000, common::milliseconds(1500)}});
     batch.commands.push_back({2, poll_command{instance, "10.0.0.1:80", 4, {}, {}}});
