Let the fleet soak's workers compare the id of an order only

The soak's workers refused orders that were meant for an earlier instance of their id. The protocol names the id only, so a real worker obeys them; a poll shows the other instance by its start time afterwards. And their clocks did not begin anew with an instance.

Workers of the soak now do as the protocol says. Orders that were held up across a restart are dropped after the relays' limits; the planted fault held_up_orders lets them through.

--- a/src/fakes/run_model.cpp
+++ b/src/fakes/run_model.cpp
@@ -35,7 +35,8 @@
 
 command_outcome run_model::admit(const scheduling::worker_instance& meant, std::int64_t token)
 {
-    if (meant != this->told.instance) {
+    if (this->options.compares_id_only ? meant.id != this->told.instance.id
+                                       : meant != this->told.instance) {
         return command_outcome::other_instance;
     }
     if (token < this->highest_token && !this->options.obeys_older_owners) {
--- a/src/fakes/run_model.h
+++ b/src/fakes/run_model.h
@@ -37,6 +37,7 @@
     double clock_rate = 1.0;
     bool guards_capacity = false;    ///< refuses what does not fit
     bool obeys_older_owners = false; ///< a planted fault
+    bool compares_id_only = false;   ///< obeys what was meant for an earlier instance of its id
 
     friend bool operator==(const run_model_options&, const run_model_options&) = default;
 };
--- a/src/soak/fleet_world.cpp
+++ b/src/soak/fleet_world.cpp
@@ -71,6 +71,14 @@
     return which.alive && this->now >= which.cut_until;
 }
 
+bool fleet_world::is_dropped(const worker_model& at, const scheduling::worker_instance& meant,
+                             std::int64_t sent, std::int64_t limit_ms) const
+{
+    // A worker's own backlog ends with it, and relays drop what was held up.
+    return at.runs.entry().instance != meant && this->now > sent + limit_ms &&
+           this->options.fault != fleet_fault::held_up_orders;
+}
+
 fleet_world_report fleet_world::run()
 {
     this->make_workers();
@@ -119,6 +127,7 @@
         fakes::run_model_options wanted;
         wanted.clock_offset_ms = static_cast<std::int64_t>(this->random.below(1'000'000));
         wanted.clock_rate = 1.0 - 0.02 * this->random.unit();
+        wanted.compares_id_only = true;
         wanted.obeys_older_owners = this->options.fault == fleet_fault::ignore_fences;
         this->workers.push_back({fakes::run_model(std::move(entry), wanted, hooks)});
     }
@@ -232,7 +241,7 @@
         const std::int64_t born = reborn.runs.entry().instance.started_at_ms + this->now + 1;
         reborn.alive = true;
         reborn.runs.begin_life({id, born},
-                               static_cast<std::int64_t>(this->random.below(1'000'000)));
+                               static_cast<std::int64_t>(this->random.below(100)) - this->now);
         if (this->current) {
             this->tell_workers(this->current);
         }
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -22,6 +22,7 @@
     dropped_dependency,  ///< the cell is told that steps wait for nothing
     raised_attempts,     ///< the cell is told of more attempts
     lost_jobs,           ///< accepted jobs are not handed to owners
+    held_up_orders,      ///< orders reach a later instance of their worker, however late they are
     stale_notifications, ///< owners use notifications however old they are
 };
 
@@ -113,8 +114,8 @@
     void do_look(const owner& which, scheduling::poll_command order, std::int64_t sent,
                  std::int64_t answer_by, bool answered);
     void send_start(const owner& which, const scheduling::start_command& order);
-    scheduling::command_outcome do_start(std::int64_t token,
-                                         const scheduling::start_command& order);
+    scheduling::command_outcome do_start(std::int64_t token, const scheduling::start_command& order,
+                                         std::int64_t sent);
     void send_stop(const owner& which, const scheduling::stop_command& order);
     scheduling::command_outcome do_stop(std::int64_t token, const scheduling::stop_command& order);
     void write_journal(const owner& which, std::size_t lane);
@@ -126,6 +127,8 @@
     void check_calm();
     [[nodiscard]] worker_model& worker_of(const std::string& id);
     [[nodiscard]] bool reaches(const worker_model& which) const;
+    [[nodiscard]] bool is_dropped(const worker_model& at, const scheduling::worker_instance& meant,
+                                  std::int64_t sent, std::int64_t limit_ms) const;
     [[nodiscard]] bool calm() const;
     [[nodiscard]] scheduling::policy policy_for_cell() const;
 
--- a/src/soak/fleet_world_network.cpp
+++ b/src/soak/fleet_world_network.cpp
@@ -9,6 +9,10 @@
 constexpr std::int64_t unanswered_after_ms = 500;
 constexpr std::int64_t latest_order_ms = 12'000;
 
+/// Relays drop orders that are later than this.
+constexpr std::int64_t latest_relayed_start_ms = 1000;
+constexpr std::int64_t latest_relayed_poll_ms = 2500;
+
 } // namespace
 
 bool fleet_world::commit(std::int64_t token, std::int64_t expected,
@@ -97,7 +101,7 @@
                           std::int64_t answer_by, bool answered)
 {
     worker_model& at = this->worker_of(order.worker.id);
-    if (!this->reaches(at)) {
+    if (!this->reaches(at) || this->is_dropped(at, order.worker, sent, latest_relayed_poll_ms)) {
         if (answered) {
             this->at(answer_by, [this, which, order, sent] {
                 if (!which->gone) {
@@ -113,7 +117,7 @@
     const std::int64_t acknowledged = this->options.fault == fleet_fault::acknowledge_early
                                           ? at.runs.ends_so_far()
                                           : order.acknowledged;
-    const command_outcome outcome =
+    command_outcome outcome =
         at.runs.poll(order.worker, which->token, acknowledged, order.deadline_ms, this->now);
     if (outcome == command_outcome::accepted && !at.runs.has_ends() &&
         this->now < sent + order.wait.count() && answered) {
@@ -127,6 +131,9 @@
     scheduling::worker_report seen;
     if (outcome == command_outcome::accepted) {
         seen = at.runs.report(this->now);
+        if (seen.started_at_ms != order.worker.started_at_ms) {
+            outcome = command_outcome::other_instance;
+        }
     }
     if (!answered) {
         return;
@@ -149,8 +156,9 @@
         this->now + 1 + static_cast<std::int64_t>(this->random.below(4)) +
         (late ? 500 + static_cast<std::int64_t>(this->random.below(latest_order_ms)) : 0);
     auto outcome = std::make_shared<command_outcome>(command_outcome::unknown);
-    this->at(arrival,
-             [this, which, order, outcome] { *outcome = this->do_start(which->token, order); });
+    this->at(arrival, [this, which, order, outcome, sent = this->now] {
+        *outcome = this->do_start(which->token, order, sent);
+    });
     this->at(lost ? this->now + unanswered_after_ms : arrival + 1,
              [this, which, order, outcome, lost] {
                  if (which->gone) {
@@ -163,10 +171,11 @@
              });
 }
 
-command_outcome fleet_world::do_start(std::int64_t token, const scheduling::start_command& order)
+command_outcome fleet_world::do_start(std::int64_t token, const scheduling::start_command& order,
+                                      std::int64_t sent)
 {
     worker_model& at = this->worker_of(order.worker.id);
-    if (!this->reaches(at)) {
+    if (!this->reaches(at) || this->is_dropped(at, order.worker, sent, latest_relayed_start_ms)) {
         return command_outcome::unknown;
     }
     const jobs::step& step = this->jobs.at(order.task.job).job.steps.at(order.task.step);
--- a/src/soak/tests/fleet_world_tests.cpp
+++ b/src/soak/tests/fleet_world_tests.cpp
@@ -124,4 +124,9 @@
     assert_fires(fleet_fault::stale_notifications, "no_start_after_cancel");
 }
 
+Test(fleet_world, an_order_that_meets_the_next_instance_of_its_worker_is_found)
+{
+    assert_fires(fleet_fault::held_up_orders, "not_after_done", 81);
+}
+
 } // namespace
