--- a/src/fakes/run_model.h
+++ b/src/fakes/run_model.h
@@ -42,6 +42,7 @@
     bool guards_capacity = false;    ///< refuses what does not fit
     std::int64_t stop_ms = 0;        ///< how long a run takes to stop, from the last `settle`
     bool obeys_older_owners = false; ///< a planted fault
+    bool compares_id_only = false;   ///< obeys what was meant for an earlier instance of its id
 
     friend bool operator==(const run_model_options&, const run_model_options&) = default;
 };
--- a/src/scheduling/command_codec.cpp
+++ b/src/scheduling/command_codec.cpp
@@ -11,7 +11,9 @@
 
 enum class command_kind { poll, start, stop, throttle };
 
-constexpr std::size_t fields_of_calm_batch = 3; ///< without a delay of the results
+/// Positions in a batch, which earlier versions end before.
+constexpr std::size_t decided_at_field = 3;
+constexpr std::size_t result_delay_field = 4; ///< only while there is a delay
 constexpr std::size_t fields_of_header = 5;
 constexpr std::size_t fields_of_result = 3;
 constexpr std::size_t fields_of_run = 5;
@@ -206,14 +208,16 @@
     const payload_table payloads(batch);
     std::string bytes;
     msgpack_writer to(bytes);
-    to.array(fields_of_calm_batch + (batch.result_delay.count() > 0 ? 1U : 0U)).add(batch.token);
+    const bool has_delay = batch.result_delay.count() > 0;
+    to.array(result_delay_field + (has_delay ? 1U : 0U)).add(batch.token);
     payloads.write(to);
     to.array(batch.commands.size());
     command_writer writer(to, payloads);
     for (const numbered_command& each : batch.commands) {
         std::visit([&](const auto& command) { writer.write(each.number, command); }, each.command);
     }
-    if (batch.result_delay.count() > 0) {
+    to.add(static_cast<std::int64_t>(batch.decided_at.count()));
+    if (has_delay) {
         to.add(static_cast<std::int64_t>(batch.result_delay.count()));
     }
     return bytes;
@@ -226,9 +230,12 @@
             command_batch batch;
             batch.token = source.get<std::int64_t>(0);
             const msgpack_row payloads = source.row(1);
-            if (source.size() > fields_of_calm_batch) {
+            if (source.size() > decided_at_field) {
+                batch.decided_at = common::milliseconds(source.get<std::int64_t>(decided_at_field));
+            }
+            if (source.size() > result_delay_field) {
                 batch.result_delay = common::milliseconds(
-                    std::clamp<std::int64_t>(source.get<std::int64_t>(fields_of_calm_batch), 0,
+                    std::clamp<std::int64_t>(source.get<std::int64_t>(result_delay_field), 0,
                                              command_batch::max_result_delay.count()));
             }
             source.row(2).for_each([&](const msgpack::object& each) {
--- a/src/scheduling/command_codec.h
+++ b/src/scheduling/command_codec.h
@@ -24,6 +24,9 @@
 
     std::int64_t token = 0; ///< fencing token; workers reject commands with an older one
     std::vector<numbered_command> commands;
+    /// When the first command was decided, on the owner's monotonic clock; 0: unknown, in batches
+    /// of earlier versions.
+    common::milliseconds decided_at{0};
     /// How much longer than usual a relay gathers results, because the owner lags.
     common::milliseconds result_delay{0};
 
