Find a job's planned starts without a look at all of them

Planned starts are now kept by job. Only the end of a planned run looks there. Starts of a batch are sent in the order in which its jobs changed.

Tests: chervilslip_scheduling_tests, 59 passed; a new one drops the planned start of a cancelled job and keeps the order of the others. It passes on the earlier code too.

--- a/src/scheduling/journal_lane.h
+++ b/src/scheduling/journal_lane.h
@@ -63,7 +63,8 @@
     using planned_start = std::pair<jobs::task_id, std::int64_t>; ///< task and run number
 
     changed_jobs changed;
-    std::vector<planned_start> planned_starts; ///< not in a journal batch yet
+    /// Starts that are not in a journal batch yet, by job.
+    std::unordered_map<std::string, std::vector<planned_start>> planned_starts;
     /// Workers that have reported ends of a changed job, by job.
     std::unordered_map<std::string, std::set<std::string>> workers_of_ends;
 
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -200,13 +200,14 @@
     lane.batch_in_flight = this->next_batch++;
     journal_write write{*lane.batch_in_flight, number, {}};
     const std::set<std::string> chosen = this->collect_changes(lane, write);
-    const auto first_of_batch =
-        std::stable_partition(lane.planned_starts.begin(), lane.planned_starts.end(),
-                              [&chosen](const journal_lane::planned_start& each) {
-                                  return !chosen.contains(each.first.job);
-                              });
-    lane.batch_starts.assign(first_of_batch, lane.planned_starts.end());
-    lane.planned_starts.erase(first_of_batch, lane.planned_starts.end());
+    lane.batch_starts.clear();
+    for (const document_change& change : write.changes) {
+        const auto planned = lane.planned_starts.extract(change.job);
+        if (!planned.empty()) {
+            std::move(planned.mapped().begin(), planned.mapped().end(),
+                      std::back_inserter(lane.batch_starts));
+        }
+    }
     for (const std::string& job : chosen) {
         const auto reported = lane.workers_of_ends.extract(job);
         if (reported.empty()) {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -225,6 +225,7 @@
     void end_run(active_job& job, const jobs::task_id& task, end_cause cause,
                  const std::string& checkpoint, common::steady_time now);
     void close_run(const jobs::task_id& task);
+    void forget_planned_start(const jobs::task_id& task);
     void mark_run_lost(const jobs::task_id& task, std::string_view why);
 
     [[nodiscard]] std::int64_t remaining_processors(const std::string& team) const;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -441,7 +441,7 @@
     worker.runs.insert(task);
     worker.used += size;
     this->team_usage[job.spec.team] += size;
-    this->lane_of(task.job).planned_starts.emplace_back(task, run);
+    this->lane_of(task.job).planned_starts[task.job].emplace_back(task, run);
     this->mark_dirty(job);
 }
 
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -308,12 +308,27 @@
         worker->second.used -= freed;
         worker->second.idle_since = this->last_now;
     }
-    std::erase_if(this->lane_of(task.job).planned_starts,
-                  [&task](const journal_lane::planned_start& each) { return each.first == task; });
+    if (run->second.phase == run_phase::planned) {
+        this->forget_planned_start(task);
+    }
     this->open_runs.erase(run);
     this->dispatch_due = true;
 }
 
+void scheduler::forget_planned_start(const jobs::task_id& task)
+{
+    auto& planned_starts = this->lane_of(task.job).planned_starts;
+    const auto planned = planned_starts.find(task.job);
+    if (planned == planned_starts.end()) {
+        return; // its batch is being written
+    }
+    std::erase_if(planned->second,
+                  [&task](const journal_lane::planned_start& each) { return each.first == task; });
+    if (planned->second.empty()) {
+        planned_starts.erase(planned);
+    }
+}
+
 void scheduler::end_run(active_job& job, const jobs::task_id& task, end_cause cause,
                         const std::string& checkpoint, common::steady_time now)
 {
--- a/src/scheduling/tests/scheduler_tests.cpp
+++ b/src/scheduling/tests/scheduler_tests.cpp
@@ -411,4 +411,31 @@
     cr_assert(!first_started.contains("j900"));
 }
 
+Test(scheduler, planned_starts_of_a_cancelled_job_are_dropped_and_the_others_keep_their_order)
+{
+    // given: one lane, whose write under way holds the first job
+    scheduler_options options;
+    options.journal_lanes = 1;
+    scheduler_fixture fixture({make_worker("w1"), make_worker("w2")}, {}, options);
+    fixture.answer_first_polls();
+    fixture.hold_journal = true;
+    for (const std::string id : {"first", "z", "cancelled", "a"}) {
+        fixture.submit_job(make_job(id));
+    }
+
+    // when
+    fixture.under_test.cancel_job("cancelled", fixture.now());
+    fixture.hold_journal = false;
+    fixture.advance(fixture.now_ms + 100);
+    fixture.advance(fixture.now_ms + 100);
+
+    // then
+    std::vector<std::string> started;
+    for (const start_command& each : fixture.starts) {
+        started.push_back(each.task.job);
+    }
+    const std::vector<std::string> expected{"first", "z", "a"};
+    cr_assert(started == expected);
+}
+
 } // namespace
