Check in the fleet soak that a cancelled job's tasks end in time

A job that lasts is cancelled while all is calm, and nothing of it may run cancel_ms and the stop's grace later (gone_after_cancel).

The code that models messages to owners has moved to fleet_world_network.cpp.

--- a/src/soak/fleet_world.cpp
+++ b/src/soak/fleet_world.cpp
@@ -12,8 +12,8 @@
 constexpr std::int64_t team_limit = 20'000;
 constexpr std::int64_t vm_processors = 6000;
 constexpr std::int64_t max_attempts = 3;
-constexpr std::int64_t cancel_ms = 3000;     ///< nothing starts later than this after a cancel
-constexpr std::int64_t input_pause_ms = 400; ///< between two reads of jobs and cancellations
+constexpr std::int64_t cancel_ms = 3000; ///< nothing starts later than this after a cancel
+constexpr std::int64_t stop_grace_ms = 900;
 constexpr std::int64_t unix_origin = 1'700'000'000'000;
 constexpr std::size_t most_traces = 5;
 
@@ -96,6 +96,12 @@
          time += 2500 + static_cast<std::int64_t>(this->random.below(6000))) {
         this->at(time, [this] { this->change_owner(); });
     }
+    // A job that lasts is cancelled while all is calm.
+    const std::string lasting = "job0";
+    const std::int64_t cancel_time = this->options.duration_ms + calm_ms - 2 * cancel_ms;
+    this->at(cancel_time, [this, lasting] { this->cancel_job(lasting); });
+    this->at(cancel_time + cancel_ms + stop_grace_ms,
+             [this, lasting] { this->check_gone(lasting); });
     this->advance_to(this->options.duration_ms + calm_ms);
     this->check_calm();
     return this->report;
@@ -189,21 +195,6 @@
     });
 }
 
-void fleet_world::notify(std::function<void(scheduling::scheduler&)> deliver)
-{
-    if (this->random.chance(0.2)) {
-        return; // lost
-    }
-    const bool late = this->random.chance(0.3);
-    this->at(this->now + 1 + static_cast<std::int64_t>(this->random.below(late ? 9000 : 4)),
-             [this, deliver = std::move(deliver)] {
-                 if (this->current && !this->current->gone) {
-                     deliver(*this->current->scheduler);
-                     this->run_cell(this->current);
-                 }
-             });
-}
-
 void fleet_world::cancel_some_job()
 {
     if (this->jobs.empty() || !this->random.chance(0.3)) {
@@ -211,13 +202,22 @@
     }
     auto chosen = this->jobs.begin();
     std::advance(chosen, static_cast<std::ptrdiff_t>(this->random.below(this->jobs.size())));
-    if (this->stored_closed.contains(chosen->first)) {
+    this->cancel_job(chosen->first);
+}
+
+void fleet_world::cancel_job(const std::string& id)
+{
+    if (this->stored_closed.contains(id)) {
         return;
     }
-    chosen->second.cancelled_at = chosen->second.cancelled_at.value_or(this->now);
-    this->stored_cancels.insert(chosen->first);
+    job_truth& truth = this->jobs.at(id);
+    truth.cancelled_at = truth.cancelled_at.value_or(this->now);
+    if (this->options.fault == fleet_fault::lost_cancels) {
+        return;
+    }
+    this->stored_cancels.insert(id);
     const std::int64_t written_at = ++this->revision;
-    this->notify([this, id = chosen->first, written_at](scheduling::scheduler& owner) {
+    this->notify([this, id, written_at](scheduling::scheduler& owner) {
         owner.handle_cancel_notification(id, written_at, steady(this->now));
     });
 }
@@ -317,35 +317,6 @@
     this->at(this->now + owner_tick_ms, [this, which] { this->tick_owner(which); });
 }
 
-void fleet_world::read_input(const owner& which)
-{
-    std::vector<jobs::job> open;
-    for (const auto& [id, truth] : this->jobs) {
-        if (!this->stored_closed.contains(id) && this->options.fault != fleet_fault::lost_jobs) {
-            open.push_back(truth.job);
-        }
-    }
-    const bool slow = !this->calm() && this->random.chance(0.1);
-    const std::int64_t arrival =
-        this->now + 2 + static_cast<std::int64_t>(this->random.below(slow ? 3000 : 20));
-    which->next_read = arrival + input_pause_ms;
-    this->at(arrival, [this, which, open = std::move(open), cancels = this->stored_cancels,
-                       read_at = this->revision, sent = this->now] {
-        if (which->gone) {
-            return;
-        }
-        for (const jobs::job& each : open) {
-            which->scheduler->submit_job(each, steady(this->now));
-        }
-        for (const std::string& id : cancels) {
-            which->scheduler->cancel_job(id, steady(this->now));
-        }
-        which->scheduler->ignore_notifications_until(read_at);
-        which->scheduler->confirm_input(steady(sent));
-        this->run_cell(which);
-    });
-}
-
 void fleet_world::tell_workers(const owner& which)
 {
     std::vector<scheduling::worker_entry> entries;
@@ -453,6 +424,16 @@
     this->check("order", ordered, detail);
 }
 
+void fleet_world::check_gone(const std::string& id)
+{
+    const bool gone =
+        std::all_of(this->workers.begin(), this->workers.end(), [&id](const worker_model& each) {
+            const auto run = each.runs.runs().lower_bound({id, 0, 0, 0});
+            return run == each.runs.runs().end() || run->first.job != id;
+        });
+    this->check("gone_after_cancel", gone, id);
+}
+
 void fleet_world::check_calm()
 {
     for (const auto& [id, truth] : this->jobs) {
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -22,6 +22,7 @@
     dropped_dependency,  ///< the cell is told that steps wait for nothing
     raised_attempts,     ///< the cell is told of more attempts
     lost_jobs,           ///< accepted jobs are not handed to owners
+    lost_cancels,        ///< acknowledged cancellations are not stored
     held_up_orders,      ///< orders reach a later instance of their worker, however late they are
     stale_notifications, ///< owners use notifications however old they are
 };
@@ -101,6 +102,8 @@
     void make_workers();
     void hand_in_job();
     void cancel_some_job();
+    void cancel_job(const std::string& id);
+    void check_gone(const std::string& id);
     void trouble_worker();
     void change_owner();
     void tick_owner(const owner& which);
--- a/src/soak/fleet_world_network.cpp
+++ b/src/soak/fleet_world_network.cpp
@@ -13,8 +13,54 @@
 constexpr std::int64_t latest_relayed_start_ms = 1000;
 constexpr std::int64_t latest_relayed_poll_ms = 2500;
 
+constexpr std::int64_t input_pause_ms = 400; ///< between two reads of jobs and cancellations
+
 } // namespace
 
+void fleet_world::notify(std::function<void(scheduling::scheduler&)> deliver)
+{
+    if (this->random.chance(0.2)) {
+        return; // lost
+    }
+    const bool late = this->random.chance(0.3);
+    this->at(this->now + 1 + static_cast<std::int64_t>(this->random.below(late ? 9000 : 4)),
+             [this, deliver = std::move(deliver)] {
+                 if (this->current && !this->current->gone) {
+                     deliver(*this->current->scheduler);
+                     this->run_cell(this->current);
+                 }
+             });
+}
+
+void fleet_world::read_input(const owner& which)
+{
+    std::vector<jobs::job> open;
+    for (const auto& [id, truth] : this->jobs) {
+        if (!this->stored_closed.contains(id) && this->options.fault != fleet_fault::lost_jobs) {
+            open.push_back(truth.job);
+        }
+    }
+    const bool slow = !this->calm() && this->random.chance(0.1);
+    const std::int64_t arrival =
+        this->now + 2 + static_cast<std::int64_t>(this->random.below(slow ? 3000 : 20));
+    which->next_read = arrival + input_pause_ms;
+    this->at(arrival, [this, which, open = std::move(open), cancels = this->stored_cancels,
+                       read_at = this->revision, sent = this->now] {
+        if (which->gone) {
+            return;
+        }
+        for (const jobs::job& each : open) {
+            which->scheduler->submit_job(each, steady(this->now));
+        }
+        for (const std::string& id : cancels) {
+            which->scheduler->cancel_job(id, steady(this->now));
+        }
+        which->scheduler->ignore_notifications_until(read_at);
+        which->scheduler->confirm_input(steady(sent));
+        this->run_cell(which);
+    });
+}
+
 bool fleet_world::commit(std::int64_t token, std::int64_t expected,
                          const scheduling::journal_write& order)
 {
--- a/src/soak/tests/fleet_world_tests.cpp
+++ b/src/soak/tests/fleet_world_tests.cpp
@@ -42,9 +42,10 @@
         }
         cr_assert(report.violations.empty());
         cr_assert(report.owners > 3);
-        for (const char* name : {"one_run", "not_after_done", "capacity", "team_limit", "attempts",
-                                 "order", "job_ends", "nothing_left", "completed_is_true",
-                                 "not_after_closed", "no_start_after_cancel"}) {
+        for (const char* name :
+             {"one_run", "not_after_done", "capacity", "team_limit", "attempts", "order",
+              "job_ends", "nothing_left", "completed_is_true", "not_after_closed",
+              "no_start_after_cancel", "gone_after_cancel"}) {
             cr_assert(report.checks.contains(name), "%s was not checked", name);
         }
     }
@@ -129,4 +130,9 @@
     assert_fires(fleet_fault::held_up_orders, "not_after_done", 81);
 }
 
+Test(fleet_world, a_task_that_runs_on_after_its_cancellation_is_found)
+{
+    assert_fires(fleet_fault::lost_cancels, "gone_after_cancel");
+}
+
 } // namespace
