Look at the registry less often the more workers it lists

Any change under the workers' prefix, up to ten times a second, makes the owner compare all entries, copy them and hand them to the scheduler and the relay, which look at all of them again.

--- a/src/store/prefix_follower.cpp
+++ b/src/store/prefix_follower.cpp
@@ -119,7 +119,8 @@
             this->watch_changes();
             return;
         }
-        this->after(this->options.batch_delay, [this] { this->watch_changes(); });
+        this->after(delay_after_changes(this->options, this->items.size()),
+                    [this] { this->watch_changes(); });
         if (this->callbacks.on_update) {
             this->callbacks.on_update(this->items, changed);
         } else {
--- a/src/store/prefix_follower.h
+++ b/src/store/prefix_follower.h
@@ -35,10 +35,23 @@
     common::milliseconds retry_delay{150}; ///< after a failed call
     common::milliseconds batch_delay{
         0}; ///< before the next watch call after changes, so that one call returns several
+    /// The delay grows by a millisecond for so many items, for a caller that looks at all of them
+    /// after each batch of changes; 0: it does not grow.
+    std::size_t items_per_delay_ms = 0;
 
     friend bool operator==(const follower_options&, const follower_options&) = default;
 };
 
+/// Returns the delay before the next watch call after changes, while `items` are known. Thread
+/// safe.
+constexpr common::milliseconds delay_after_changes(const follower_options& options,
+                                                   std::size_t items)
+{
+    return options.items_per_delay_ms == 0
+               ? options.batch_delay
+               : options.batch_delay + common::milliseconds(items / options.items_per_delay_ms);
+}
+
 /// Keeps a copy of the items under a prefix: reads all of them, then watches for changes, and reads
 /// all again when the store no longer has the history to watch from. Not thread safe: call it only
 /// on the io_context's thread.
--- a/src/store/tests/prefix_follower_tests.cpp
+++ b/src/store/tests/prefix_follower_tests.cpp
@@ -119,6 +119,16 @@
     cr_assert(followed.known == 501);
 }
 
+Test(prefix_follower, watches_less_often_the_more_items_a_caller_looks_at_after_each_change)
+{
+    const store::follower_options alike{milliseconds(1000), milliseconds(0), milliseconds(100)};
+    cr_assert(store::delay_after_changes(alike, 1100) == milliseconds(100));
+    const store::follower_options growing{milliseconds(1000), milliseconds(0), milliseconds(100),
+                                          10};
+    cr_assert(store::delay_after_changes(growing, 5) == milliseconds(100));
+    cr_assert(store::delay_after_changes(growing, 1100) == milliseconds(210));
+}
+
 Test(prefix_follower, leaves_out_of_an_update_what_was_removed_again)
 {
     watched_store source;
