Do not refuse jobs for a single long turn of the owner's event loop

A takeover makes one turn long; the mean lateness of the timer in that interval was enough to halve the share. The first decrease now needs two intervals of overload. The bounds are lower (round trip 130 ms, lag 60 ms), as calm intervals of the slow owner showed 20 to 60 ms and up to 30 ms.

--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -118,7 +118,9 @@
             : std::min(1.0, this->latest.handled_rate / std::max(1.0, this->latest.offered_rate));
     const double draining_share = this->options.draining * sustainable;
     double& share = this->current_share;
-    if (pressure_now >= overloaded && pressure_now >= this->last_pressure * shrinking) {
+    const bool is_first = share == 1.0 && this->last_pressure < overloaded;
+    if (pressure_now >= overloaded && !is_first &&
+        pressure_now >= this->last_pressure * shrinking) {
         share = std::clamp(draining_share, share * this->options.max_decrease,
                            share * this->options.min_decrease);
     } else if (pressure_now < 0.0) {
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -15,11 +15,11 @@
     common::milliseconds interval{250}; ///< between two decisions, and between two publications
     /// Median round trip of start commands, waiting in the owner's queues included, from which the
     /// owner counts as overloaded, and below which it counts as calm.
-    common::milliseconds overloaded_round_trip{250};
-    common::milliseconds calm_round_trip{125};
+    common::milliseconds overloaded_round_trip{130};
+    common::milliseconds calm_round_trip{65};
     /// The same for the mean lateness of the owner's timer.
-    common::milliseconds overloaded_timer_lag{80};
-    common::milliseconds calm_timer_lag{40};
+    common::milliseconds overloaded_timer_lag{60};
+    common::milliseconds calm_timer_lag{30};
     std::size_t min_samples = 8; ///< with fewer round trips in an interval only the timer counts
     /// Part of what the owner can handle that is accepted while its queues are long, so that they
     /// become shorter.
@@ -48,8 +48,9 @@
 /// Decides which share of new jobs to accept, from signs that the owner's queues grow: start
 /// commands whose results it handles late, and a late timer. While they are long and do not shrink,
 /// the share approaches what an owner that has no time to spare is seen to handle of what is
-/// offered. While they are short it grows by a factor an interval. Not thread safe. Precondition:
-/// the times passed in never decrease.
+/// offered. While they are short it grows by a factor an interval. A single interval, such as a
+/// takeover's, does not end full acceptance. Not thread safe. Precondition: the times passed in
+/// never decrease.
 class admission_controller {
 public:
     explicit admission_controller(common::steady_time now, controller_options tuning = {});
