Work off the backlog of accepted tasks before as many new jobs are accepted

The share was set to what an overloaded owner handles. The share is now also lowered by the rate that starts the waiting tasks within 2 s.

--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -51,9 +51,19 @@
     ++this->timer_count;
 }
 
+bool admission_controller::is_due(common::steady_time now) const
+{
+    return now >= this->interval_end;
+}
+
+void admission_controller::on_backlog(std::int64_t tasks)
+{
+    this->backlog = tasks;
+}
+
 void admission_controller::tick(common::steady_time now)
 {
-    if (now < this->interval_end) {
+    if (!this->is_due(now)) {
         return;
     }
     this->update_signals();
@@ -116,12 +126,15 @@
         this->latest.handled_rate == 0.0
             ? 1.0
             : std::min(1.0, this->latest.handled_rate / std::max(1.0, this->latest.offered_rate));
-    const double draining_share = this->options.draining * sustainable;
+    const double drained_rate = static_cast<double>(this->backlog) /
+                                std::chrono::duration<double>(this->options.drain_time).count();
+    const double draining_share = this->options.draining * sustainable -
+                                  drained_rate / std::max(1.0, this->latest.offered_rate);
     double& share = this->current_share;
     const bool is_first = share == 1.0 && this->last_pressure < overloaded;
     if (pressure_now >= overloaded && !is_first &&
         pressure_now >= this->last_pressure * shrinking) {
-        share = std::clamp(draining_share, share * this->options.max_decrease,
+        share = std::clamp(std::max(draining_share, 0.0), share * this->options.max_decrease,
                            share * this->options.min_decrease);
     } else if (pressure_now < 0.0) {
         share *= share < draining_share ? this->options.fast_increase : this->options.increase;
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -24,7 +24,8 @@
     /// Part of what the owner can handle that is accepted while its queues are long, so that they
     /// become shorter.
     double draining = 0.8;
-    double max_decrease = 0.5;   ///< factor of the share in one interval
+    common::milliseconds drain_time{2000}; ///< in which waiting tasks are to be started
+    double max_decrease = 0.5;             ///< factor of the share in one interval
     double min_decrease = 0.97;  ///< the same, once less is accepted than the owner handles
     double increase = 1.08;      ///< factor of the share in a calm interval
     double fast_increase = 1.25; ///< the same, while much less is accepted than the owner handles
@@ -67,6 +68,12 @@
     /// Records by how much a timer of the owner was late.
     void on_timer(common::milliseconds lag);
 
+    /// Returns whether the interval is over, so that `tick` updates the share.
+    [[nodiscard]] bool is_due(common::steady_time now) const;
+
+    /// Records how many accepted tasks could be started, but have not been.
+    void on_backlog(std::int64_t tasks);
+
     /// Ends the interval if it is over, and updates the share.
     void tick(common::steady_time now);
 
@@ -90,6 +97,7 @@
     controller_options options;
     common::steady_time interval_begin;
     common::steady_time interval_end;
+    std::int64_t backlog = 0;                      ///< tasks
     std::int64_t tasks_received = 0;               ///< in this interval, of new jobs
     std::vector<common::milliseconds> round_trips; ///< of this interval
     std::size_t commands_open = 0;
--- a/src/admission/tests/admission_controller_tests.cpp
+++ b/src/admission/tests/admission_controller_tests.cpp
@@ -276,6 +276,35 @@
     cr_assert(controller.share() == 1.0);
 }
 
+/// Returns the share after a second of overload in which an owner handled what was offered.
+double share_after_overload(std::int64_t backlog)
+{
+    admission_controller controller(at_us(0));
+    for (int i = 1; i <= 4; ++i) {
+        controller.on_job(250);
+        for (int k = 0; k < 250; ++k) {
+            controller.on_command_sent();
+            controller.on_command_completed(milliseconds(500));
+        }
+        controller.on_backlog(backlog);
+        controller.tick(at_us(i * 250 * us_per_ms));
+    }
+    return controller.share();
+}
+
+Test(admission_controller, accepted_tasks_that_wait_are_started_before_as_many_are_accepted)
+{
+    // given: 1,000 tasks a second are offered and handled
+    const double without_backlog = share_after_overload(0);
+
+    // when: two seconds of work wait
+    const double with_backlog = share_after_overload(2000);
+
+    // then
+    cr_assert(without_backlog > 0.5, "share %f", without_backlog);
+    cr_assert(with_backlog < 0.2, "share %f", with_backlog);
+}
+
 Test(admission_controller, few_slow_workers_do_not_count_as_an_overload)
 {
     // given
--- a/src/daemon/scheduler_host_admission.cpp
+++ b/src/daemon/scheduler_host_admission.cpp
@@ -53,6 +53,9 @@
 {
     this->admission_control->on_timer(
         std::chrono::duration_cast<common::milliseconds>(this->now() - this->tick_due));
+    if (this->admission_control->is_due(this->now())) {
+        this->admission_control->on_backlog(this->scheduler->startable_tasks());
+    }
     this->admission_control->tick(this->now());
     if (this->publishing_share) {
         return;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -117,6 +117,10 @@
     /// Returns the demand per pool, without tasks beyond their team's quota.
     [[nodiscard]] std::map<std::string, fleet::pool_demand> demand() const;
 
+    /// Returns how many tasks could be started as far as their job is concerned, without those of
+    /// long-running jobs.
+    [[nodiscard]] std::int64_t startable_tasks() const;
+
     /// Returns how many runs of long-running tasks may exist on a worker.
     [[nodiscard]] std::int64_t lasting_runs(const std::string& worker) const;
 
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -444,6 +444,27 @@
            (used == this->team_usage.end() ? 0 : used->second.processors);
 }
 
+std::int64_t scheduler::startable_tasks() const
+{
+    std::int64_t tasks = 0;
+    for (const auto& [id, job] : this->jobs_by_id) {
+        if (jobs::is_final(job.progress.state) || job.spec.is_long_running()) {
+            continue;
+        }
+        for (std::size_t k = 0; k < job.counts.size(); ++k) {
+            if (job.spec.due_ms(static_cast<std::int64_t>(k)) > this->last_unix_ms) {
+                continue;
+            }
+            for (std::size_t s = 0; s < job.counts[k].size(); ++s) {
+                if (this->is_step_ready(job, static_cast<std::int64_t>(k), s)) {
+                    tasks += job.counts[k][s].waiting;
+                }
+            }
+        }
+    }
+    return tasks;
+}
+
 std::map<std::string, fleet::pool_demand> scheduler::demand() const
 {
     std::map<std::string, fleet::pool_demand> pools;
