Give up a task under which three workers have crashed

Callers saw worker after worker go down: a task that crashes each worker that starts it was started again without end, and each crash took along what ran beside it.

Cause: a run that is lost with its worker is no failed attempt, and nothing else bounded the number of starts. Nothing that a new owner reads said under which tasks workers had crashed.

Crashes are now part of a task's progress. One is counted when an instance is replaced without notice, for each run that had not survived its start, in the change that closes the run, so it counts once over owners and lost writes. A run lost behind a silent worker is remembered until a successor proves the crash or an answer disproves it. After one crash the task is placed apart from other suspects, after two it is started alone on a worker that is held for it, after three its job fails, with the cause in job_ended.

--- /dev/null
+++ b/src/scheduling/crash_ledger.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "scheduling/worker_state.h"
+
+namespace chervilslip::scheduling {
+
+/// A task is given up when this many workers have crashed while they were starting it.
+inline constexpr std::int64_t max_crashes = 3;
+
+/// A task under which this many workers have crashed is started in isolation only.
+inline constexpr std::int64_t isolation_crashes = 2;
+
+/// A run that has been at work for this long has survived its start.
+inline constexpr common::milliseconds start_survival_time{2000};
+
+/// How the runs of a worker instance were lost.
+enum class worker_loss {
+    crashed,     ///< another instance has replaced it without notice
+    unexplained, ///< stopped responding, by a crash or a partition
+    planned,     ///< drained, moved or serviced
+};
+
+/// Returns how an instance was lost that `successor` has replaced on its VM or under its id. Thread
+/// safe.
+worker_loss loss_of_replaced(const worker_state& lost, const worker_entry& successor);
+
+/// Runs that were lost for an unexplained reason, until their worker instance is found to be alive
+/// or to have been replaced. Not thread safe.
+class crash_ledger {
+public:
+    /// Records tasks that were starting on a lost instance.
+    void add(const worker_entry& lost, std::vector<jobs::task_id> tasks, common::steady_time now);
+
+    /// Returns the tasks that were lost with earlier instances on the VM, or under the id, of an
+    /// instance that was added, and removes them.
+    std::vector<jobs::task_id> take_crashed(const worker_entry& added);
+
+    /// Removes the tasks of an instance that has responded again.
+    void remove(const worker_instance& alive);
+
+    /// Removes the tasks whose instances have been neither replaced nor heard of for too long.
+    void expire(common::steady_time now);
+
+    /// Returns how many unexplained losses of a task's runs are recorded.
+    [[nodiscard]] std::int64_t count(const jobs::task_id& task) const;
+
+private:
+    struct loss {
+        worker_entry worker;
+        std::vector<jobs::task_id> tasks;
+        common::steady_time at;
+    };
+
+    void forget(const loss& lost);
+
+    std::map<worker_instance, loss> losses;
+    std::map<jobs::task_id, std::int64_t> count_by_task;
+};
+
+} // namespace chervilslip::scheduling
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -11,6 +11,11 @@
 constexpr double shared_rack_cost = 10.0;
 constexpr double unproven_cost = 5.0;
 
+/// Suspects are kept apart from each other, so that a crash is attributed to one of them, and from
+/// other runs, which a crash would end.
+constexpr double shared_suspect_cost = 1000.0;
+constexpr double endangered_run_cost = 2.0;
+
 /// Retries prefer workers that have completed a task within this time.
 constexpr common::milliseconds recent_success_window{5000};
 
@@ -48,6 +53,9 @@
     if (!request.required_rack.empty() && entry.rack != request.required_rack) {
         return std::nullopt;
     }
+    if (worker.isolated_task != request.isolated_task) {
+        return std::nullopt;
+    }
     if (request.max_per_vm > 0 && neighbours.on_vm >= request.max_per_vm) {
         return std::nullopt;
     }
@@ -75,6 +83,10 @@
         cost += unproven_cost;
     }
     cost += unproven_cost * static_cast<double>(worker.consecutive_failures);
+    cost += shared_suspect_cost * static_cast<double>(worker.suspects.size());
+    if (request.suspect) {
+        cost += endangered_run_cost * static_cast<double>(worker.runs.size());
+    }
     return cost;
 }
 
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -16,6 +16,9 @@
     std::int64_t max_per_vm = 0; ///< 0: unlimited
     bool spread_racks = false;   ///< prefers different racks for the tasks of a step
     bool retried = false;        ///< a run has failed: avoids workers without a recent success
+    bool suspect = false;        ///< its worker has crashed: prefers workers with little work
+    /// Set if the task runs only on the worker that is held for it.
+    std::optional<jobs::task_id> isolated_task;
     const std::map<std::string, std::string>* tickets = nullptr; ///< allowed workers; null: all
 
     friend bool operator==(const placement_request&, const placement_request&) = default;
--- a/src/scheduling/progress.cpp
+++ b/src/scheduling/progress.cpp
@@ -15,6 +15,34 @@
 constexpr std::size_t fields_of_waiting_task = 3;
 constexpr std::size_t fields_of_open_task = 5;
 
+// Tasks under which workers have crashed follow in a list of their own, which earlier versions
+// neither write nor read.
+constexpr std::size_t fields_of_progress = 3;
+
+struct crash_count {
+    std::size_t occurrence = 0;
+    std::size_t step = 0;
+    std::size_t index = 0;
+    std::int64_t crashes = 0;
+
+    friend bool operator==(const crash_count&, const crash_count&) = default;
+};
+
+std::vector<crash_count> crash_counts(const job_progress& value)
+{
+    std::vector<crash_count> counts;
+    for (std::size_t k = 0; k < value.tasks.size(); ++k) {
+        for (std::size_t s = 0; s < value.tasks[k].size(); ++s) {
+            for (std::size_t i = 0; i < value.tasks[k][s].size(); ++i) {
+                if (value.tasks[k][s][i].crashes > 0) {
+                    counts.push_back({k, s, i, value.tasks[k][s][i].crashes});
+                }
+            }
+        }
+    }
+    return counts;
+}
+
 void write_task(msgpack_writer& to, const task_progress& value)
 {
     if (value.state == task_progress::phase::done) {
@@ -72,7 +100,11 @@
 {
     std::string bytes;
     msgpack_writer to(bytes);
-    to.array(3).add(static_cast<int>(value.state)).add(value.ended_ms).array(value.tasks.size());
+    const std::vector<crash_count> counts = crash_counts(value);
+    to.array(counts.empty() ? fields_of_progress : fields_of_progress + 1)
+        .add(static_cast<int>(value.state))
+        .add(value.ended_ms)
+        .array(value.tasks.size());
     for (const auto& steps : value.tasks) {
         to.array(steps.size());
         for (const auto& tasks : steps) {
@@ -82,6 +114,12 @@
             }
         }
     }
+    if (!counts.empty()) {
+        to.array(counts.size());
+    }
+    for (const crash_count& each : counts) {
+        to.array(4).add(each.occurrence).add(each.step).add(each.index).add(each.crashes);
+    }
     return bytes;
 }
 
@@ -100,6 +138,15 @@
                         [&step](const msgpack::object& each) { step.push_back(read_task(each)); });
                 });
             });
+            if (row.size() > fields_of_progress) {
+                row.row(fields_of_progress).for_each([&value](const msgpack::object& each) {
+                    const msgpack_row count(each);
+                    value.tasks.at(count.get<std::size_t>(0))
+                        .at(count.get<std::size_t>(1))
+                        .at(count.get<std::size_t>(2))
+                        .crashes = count.get<std::int64_t>(3);
+                });
+            }
             return value;
         });
 }
--- a/src/scheduling/progress.h
+++ b/src/scheduling/progress.h
@@ -13,6 +13,7 @@
     std::int64_t failures = 0; ///< runs that ended `failed`
     worker_instance worker;    ///< of the open run
     std::string checkpoint;    ///< latest known; empty: none
+    std::int64_t crashes = 0;  ///< workers that crashed while starting it; 0 once it survives
 
     friend bool operator==(const task_progress&, const task_progress&) = default;
 };
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -349,7 +349,8 @@
            (history.started_ms ? since_accepted(*history.started_ms) : "none") + ", starts " +
            std::to_string(history.starts) + ", failed " + std::to_string(history.failed) +
            ", lost " + std::to_string(history.lost) + ", refused " +
-           std::to_string(history.refused);
+           std::to_string(history.refused) +
+           (history.failure.empty() ? std::string{} : ", cause: " + history.failure);
 }
 
 void scheduler::record(decision_record::kind what, std::string subject, std::string detail)
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -6,6 +6,7 @@
 
 #include "fleet/pool_planner.h"
 #include "scheduling/best_effort_throttle.h"
+#include "scheduling/crash_ledger.h"
 #include "scheduling/dispatch_round.h"
 #include "scheduling/duration_estimator.h"
 #include "scheduling/journal_lane.h"
@@ -163,6 +164,7 @@
         std::int64_t lost = 0;
         std::int64_t refused = 0;               ///< starts that workers rejected
         std::optional<std::int64_t> started_ms; ///< Unix time of the first start
+        std::string failure;                    ///< why it failed; empty: attempts exhausted
     };
 
     struct active_job {
@@ -231,12 +233,29 @@
                            common::steady_time now);
     void reconcile_missing(worker_state& worker, const poll_result& answer);
     void throttle_best_effort_runs(worker_state& worker, common::steady_time now);
-    void mark_runs_lost(worker_state& worker, std::string_view why);
+    void mark_runs_lost(worker_state& worker, worker_loss how, std::string_view why,
+                        common::steady_time now);
     void expire_workers(common::steady_time now);
     void request_stop(const jobs::task_id& task, open_run& run, common::steady_time now);
     [[nodiscard]] std::int64_t deadline_for(const worker_state& worker, common::steady_time now,
                                             common::milliseconds time) const;
 
+    // scheduler_crashes.cpp: tasks that crash their workers
+    [[nodiscard]] bool is_starting(const worker_state& worker, const jobs::task_id& task) const;
+    [[nodiscard]] std::int64_t suspicion_of(const active_job& job, const jobs::task_id& task) const;
+    void count_crash(const jobs::task_id& task, common::steady_time now);
+    void clear_if_survived(worker_state& worker, active_job& job, const jobs::task_id& task);
+    bool is_suspect_startable(const active_job& job, const jobs::task_id& task,
+                              const ticket_cache* tickets, common::steady_time now);
+    bool hold_worker(const active_job& job, const jobs::task_id& task, const ticket_cache* tickets,
+                     common::steady_time now);
+    worker_state* choose_worker_to_hold(const active_job& job, const jobs::task_id& task,
+                                        const ticket_cache* tickets);
+    [[nodiscard]] bool is_quiet(const worker_state& worker, common::steady_time now) const;
+    worker_state* held_worker(const jobs::task_id& task);
+    void release_hold(const jobs::task_id& task);
+    void release_expired_holds(common::steady_time now);
+
     // scheduler_dispatch.cpp: dispatch and placement
     void dispatch_if_due(common::steady_time now, common::steady_time earliest);
     void dispatch(common::steady_time now, std::int64_t unix_ms);
@@ -294,6 +313,8 @@
     std::int64_t last_unix_ms = 0;
     duration_estimator durations;
     best_effort_throttle throttle;
+    crash_ledger unexplained_losses;
+    std::map<jobs::task_id, std::string> holds; ///< worker that is held for a task's isolated start
     scheduler_counters totals;
     bool dispatch_due = true;
     common::steady_time next_dispatch;     ///< dispatches then at the latest
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -56,7 +56,8 @@
 bool is_unconstrained(const placement_request& request)
 {
     return request.required_label.empty() && request.required_rack.empty() &&
-           request.max_per_vm == 0 && !request.retried && request.tickets == nullptr;
+           request.max_per_vm == 0 && !request.retried && !request.isolated_task &&
+           request.tickets == nullptr;
 }
 
 } // namespace
@@ -192,8 +193,9 @@
             continue;
         }
         const jobs::task_id task{job.spec.id, occurrence, step, static_cast<std::int64_t>(i)};
-        // A retried task has more constraints, so the other tasks of the step may still fit.
-        if (!this->place_task(job, task, now) && tasks[i].failures == 0) {
+        // A retried or suspected task has more constraints, so the others may still fit.
+        if (!this->place_task(job, task, now) && tasks[i].failures == 0 &&
+            this->suspicion_of(job, task) == 0) {
             return;
         }
     }
@@ -235,7 +237,11 @@
     request.spread_racks = step.long_running;
     request.retried = progress.failures > 0 && !step.long_running;
     request.tickets = tickets == nullptr ? nullptr : &tickets->tickets;
-    if (this->round->fits_nowhere(request.pool, request.size)) {
+    request.suspect = this->suspicion_of(job, task) > 0;
+    if (this->holds.contains(task)) {
+        request.isolated_task = task;
+    }
+    if (!request.isolated_task && this->round->fits_nowhere(request.pool, request.size)) {
         return nullptr;
     }
     const jobs::task_id first{task.job, task.occurrence, task.step, 0};
@@ -332,6 +338,9 @@
             return false;
         }
     }
+    if (!this->is_suspect_startable(job, task, tickets, now)) {
+        return false;
+    }
     worker_state* worker = this->choose_worker(job, task, {}, {}, now, tickets);
     if (worker == nullptr) {
         return false;
@@ -351,6 +360,9 @@
     teams::resources total;
     for (std::int64_t i = 0; i < spec.count; ++i) {
         total += size;
+        if (this->suspicion_of(job, {job.spec.id, occurrence, step, i}) >= max_crashes) {
+            return false;
+        }
     }
     if (!this->is_within_team_limit(job.spec.team, total)) {
         return false;
@@ -421,6 +433,9 @@
     this->open_runs[task] = planned;
     const teams::resources size = footprint(job.spec.steps.at(task.step));
     worker.runs.insert(task);
+    if (this->suspicion_of(job, task) > 0) {
+        worker.suspects.insert(task);
+    }
     worker.used += size;
     this->team_usage[job.spec.team] += size;
     this->lane_of(task.job).planned_starts.emplace_back(task, run);
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -84,6 +84,9 @@
                     worker.leases_end_by = now + this->options.inherited_lease;
                 }
                 worker.runs.insert(name);
+                if (task.crashes > 0) {
+                    worker.suspects.insert(name);
+                }
                 worker.used += footprint(job.spec.steps[s]);
             }
         }
@@ -124,6 +127,11 @@
 {
     job.progress.state = state;
     job.progress.ended_ms = this->last_unix_ms;
+    for (auto held = this->holds.lower_bound({job.spec.id, 0, 0, 0});
+         held != this->holds.end() && held->first.job == job.spec.id;) {
+        const jobs::task_id task = (held++)->first;
+        this->release_hold(task);
+    }
     this->stop_all_runs(job, now);
     this->mark_dirty(job);
     switch (state) {
@@ -303,7 +311,9 @@
     if (worker != this->workers.end() && worker->second.runs.erase(task) > 0) {
         worker->second.used -= freed;
         worker->second.idle_since = this->last_now;
+        worker->second.suspects.erase(task);
     }
+    this->release_hold(task);
     std::erase_if(this->lane_of(task.job).planned_starts,
                   [&task](const journal_lane::planned_start& each) { return each.first == task; });
     this->open_runs.erase(run);
@@ -338,6 +348,9 @@
         this->complete_if_done(job, now);
         return;
     }
+    if (cause == end_cause::done) {
+        progress.crashes = 0;
+    }
     if (cause == end_cause::failed) {
         ++progress.failures;
         ++this->totals.ends_failed;
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -25,6 +25,9 @@
 /// Maximum wait of a poll to a worker that runs best-effort tasks.
 constexpr common::milliseconds throttled_poll_wait{500};
 
+/// Maximum wait of a poll to a worker on which a suspect is starting, or that is held for one.
+constexpr common::milliseconds suspect_poll_wait{300};
+
 /// A stop command without effect is repeated after this time.
 constexpr common::milliseconds stop_retry_interval{600};
 
@@ -43,27 +46,31 @@
 {
     // The entry of an ended instance may remain in the registry for seconds. A newer instance on
     // the same VM proves that the earlier one has ended.
-    std::unordered_map<std::string_view, std::int64_t> newest_start_on_vm;
+    std::unordered_map<std::string_view, const worker_entry*> newest_on_vm;
     for (const worker_entry& entry : entries) {
-        std::int64_t& newest = newest_start_on_vm[entry.vm];
-        newest = std::max(newest, entry.instance.started_at_ms);
+        const worker_entry*& newest = newest_on_vm[entry.vm];
+        if (newest == nullptr || newest->instance.started_at_ms < entry.instance.started_at_ms) {
+            newest = &entry;
+        }
     }
-    const auto is_ended = [&newest_start_on_vm](const worker_entry& entry) {
-        const auto newest = newest_start_on_vm.find(entry.vm);
-        return !entry.vm.empty() && newest != newest_start_on_vm.end() &&
-               newest->second > entry.instance.started_at_ms;
+    const auto successor_of = [&newest_on_vm](const worker_entry& entry) -> const worker_entry* {
+        const auto newest = newest_on_vm.find(entry.vm);
+        const bool is_ended = !entry.vm.empty() && newest != newest_on_vm.end() &&
+                              newest->second->instance.started_at_ms > entry.instance.started_at_ms;
+        return is_ended ? newest->second : nullptr;
     };
     ++this->last_listing;
     for (const worker_entry& entry : entries) {
-        if (!is_ended(entry)) {
+        if (successor_of(entry) == nullptr) {
             this->update_worker(entry, now);
         }
     }
     for (auto& [id, known] : this->workers) {
         known.listed = known.listed && known.listing == this->last_listing;
-        if (is_ended(known.entry)) {
+        if (const worker_entry* successor = successor_of(known.entry)) {
             known.listed = false;
-            this->mark_runs_lost(known, "a newer worker instance runs on its VM");
+            this->mark_runs_lost(known, loss_of_replaced(known, *successor),
+                                 "a newer worker instance runs on its VM", now);
         }
     }
     this->dispatch_due = true;
@@ -85,13 +92,17 @@
                 known.listing = this->last_listing;
                 return; // outdated entry of an earlier instance
             }
-            this->mark_runs_lost(known, "the worker restarted");
+            this->mark_runs_lost(known, loss_of_replaced(known, entry), "the worker restarted",
+                                 now);
         }
         known = worker_state{};
         known.next_poll = now;
         known.idle_since = now;
         this->record(decision_record::kind::worker_added, entry.instance.id,
                      "pool " + entry.pool + ", VM " + entry.vm);
+        for (const jobs::task_id& task : this->unexplained_losses.take_crashed(entry)) {
+            this->count_crash(task, now);
+        }
     }
     const bool began_draining = entry.draining && !known.entry.draining;
     known.entry = entry;
@@ -102,12 +113,27 @@
     }
 }
 
-void scheduler::mark_runs_lost(worker_state& worker, std::string_view why)
+void scheduler::mark_runs_lost(worker_state& worker, worker_loss how, std::string_view why,
+                               common::steady_time now)
 {
     const std::set<jobs::task_id> runs = worker.runs;
+    std::vector<jobs::task_id> starting;
+    std::copy_if(
+        runs.begin(), runs.end(), std::back_inserter(starting),
+        [this, &worker](const jobs::task_id& task) { return this->is_starting(worker, task); });
     for (const jobs::task_id& task : runs) {
         this->mark_run_lost(task, why);
     }
+    if (worker.entry.draining || worker.cordoned || how == worker_loss::planned) {
+        return;
+    }
+    if (how == worker_loss::unexplained) {
+        this->unexplained_losses.add(worker.entry, std::move(starting), now);
+        return;
+    }
+    for (const jobs::task_id& task : starting) {
+        this->count_crash(task, now);
+    }
 }
 
 std::int64_t scheduler::deadline_for(const worker_state& worker, common::steady_time now,
@@ -134,6 +160,9 @@
         worker.extend_leases(*command.deadline_ms);
         const auto wait = std::min(this->options.poll_wait, worker.poll_wait);
         command.wait = worker.pending_ends.empty() ? wait : common::milliseconds{0};
+        if (!worker.suspects.empty() || worker.isolated_task) {
+            command.wait = std::min(command.wait, suspect_poll_wait);
+        }
         worker.poll_wait = this->options.poll_wait;
     }
     worker.poll_in_flight = true;
@@ -154,7 +183,8 @@
         return;
     }
     if (answer.outcome == command_outcome::other_instance) {
-        this->mark_runs_lost(*worker, "another worker instance answers at its address");
+        this->mark_runs_lost(*worker, worker_loss::unexplained,
+                             "another worker instance answers at its address", now);
         worker->next_poll = now + poll_retry_interval;
         ++worker->missed_polls;
         return;
@@ -177,6 +207,7 @@
     worker->token_seen = true;
     worker->clock_ms = answer.report.clock_ms;
     worker->clock_read_at = now;
+    this->unexplained_losses.remove(worker->entry.instance);
     for (const finished_run& finished : answer.report.finished) {
         if (finished.number > worker->last_handled_end) {
             worker->last_handled_end = finished.number;
@@ -227,6 +258,7 @@
                 .at(static_cast<std::size_t>(reported.task.index))
                 .checkpoint = reported.checkpoint;
         }
+        this->clear_if_survived(worker, job, reported.task);
         if (run.redundant || jobs::is_final(job.progress.state)) {
             this->request_stop(reported.task, run, now);
         }
@@ -361,13 +393,19 @@
 
 void scheduler::expire_workers(common::steady_time now)
 {
+    this->unexplained_losses.expire(now);
+    this->release_expired_holds(now);
     for (auto each = this->workers.begin(); each != this->workers.end();) {
         worker_state& worker = each->second;
+        // An instance that vanished around a change of the owner can not be related to its VM.
+        const worker_loss how =
+            worker.listing == 0 ? worker_loss::crashed : worker_loss::unexplained;
         if (now >= worker.leases_end_by && !worker.runs.empty() && worker.missed_polls > 0) {
-            this->mark_runs_lost(worker, "lease expired while the worker did not respond");
+            this->mark_runs_lost(worker, how, "lease expired while the worker did not respond",
+                                 now);
         }
         if (!worker.token_seen && now >= worker.leases_end_by && !worker.runs.empty()) {
-            this->mark_runs_lost(worker, "leases of the earlier owner expired");
+            this->mark_runs_lost(worker, how, "leases of the earlier owner expired", now);
         }
         const bool removable = !worker.listed && worker.runs.empty() && !worker.poll_in_flight;
         if (removable) {
--- /dev/null
+++ b/src/scheduling/tests/crashing_tasks_tests.cpp
@@ -0,0 +1,288 @@
+#include "scheduling/tests/crash_fixture.h"
+
+namespace {
+
+using namespace chervilslip;
+using namespace chervilslip::scheduling;
+using namespace chervilslip::scheduling::tests;
+
+/// No task may be started more than twice after three workers have crashed under it.
+constexpr std::int64_t allowed_starts = 5;
+
+const jobs::task_id crashing_task{"bad", 0, 0, 0};
+
+std::vector<worker_entry> make_workers(int count)
+{
+    std::vector<worker_entry> entries;
+    for (int i = 0; i < count; ++i) {
+        const std::string number = std::to_string(i);
+        entries.push_back(make_worker("w" + number, "main", "r" + std::to_string(i / 2)));
+    }
+    return entries;
+}
+
+jobs::job make_long_running_job(const std::string& id, std::int64_t tasks)
+{
+    jobs::job job = make_job(id, tasks);
+    job.steps[0].long_running = true;
+    return job;
+}
+
+Test(crashing_tasks, task_that_crashes_each_worker_is_given_up)
+{
+    // given
+    crash_fixture fleet(make_workers(4));
+    fleet.crashing_jobs = {"bad"};
+    fleet.run(500);
+
+    // when
+    for (int i = 0; i < 8; ++i) {
+        fleet.submit_job(make_job("good" + std::to_string(i)));
+    }
+    fleet.submit_job(make_job("bad"));
+    fleet.run(60'000);
+
+    // then
+    cr_assert(fleet.state_of("bad") == jobs::job_state::failed);
+    cr_assert_leq(fleet.starts[crashing_task], allowed_starts);
+    for (int i = 0; i < 8; ++i) {
+        cr_assert(fleet.state_of("good" + std::to_string(i)) == jobs::job_state::completed);
+    }
+
+    // when: the caller submits the same id again
+    const std::int64_t starts = fleet.starts[crashing_task];
+    fleet.submit_job(make_job("bad"));
+    fleet.run(5000);
+
+    // then
+    cr_assert(fleet.state_of("bad") == jobs::job_state::failed);
+    cr_assert_eq(fleet.starts[crashing_task], starts);
+}
+
+Test(crashing_tasks, crash_some_time_after_the_start_counts)
+{
+    // given
+    crash_fixture fleet(make_workers(4));
+    fleet.crashing_jobs = {"bad"};
+    fleet.crash_delay_ms = 1200;
+    fleet.run(500);
+
+    // when
+    fleet.submit_job(make_job("bad"));
+    fleet.run(60'000);
+
+    // then
+    cr_assert(fleet.state_of("bad") == jobs::job_state::failed);
+    cr_assert_leq(fleet.starts[crashing_task], allowed_starts);
+}
+
+Test(crashing_tasks, each_owner_counts_the_crashes_under_the_owners_before)
+{
+    // given
+    crash_fixture fleet(make_workers(4));
+    fleet.crashing_jobs = {"bad"};
+    fleet.run(500);
+    fleet.submit_job(make_job("bad"));
+
+    // when: the owner changes after each crash
+    for (int owners = 0; owners < 12; ++owners) {
+        const std::int64_t crashes = fleet.crashes[crashing_task];
+        fleet.run_until([&] { return fleet.crashes[crashing_task] > crashes; }, 10'000);
+        fleet.change_owner();
+    }
+    fleet.run(20'000);
+
+    // then
+    cr_assert_leq(fleet.starts[crashing_task], allowed_starts);
+    cr_assert(!fleet.state_of("bad") || fleet.state_of("bad") == jobs::job_state::failed);
+}
+
+Test(crashing_tasks, crash_that_is_not_durable_yet_is_counted_by_the_next_owner)
+{
+    // given
+    crash_fixture fleet(make_workers(4));
+    fleet.crashing_jobs = {"bad"};
+    fleet.run(500);
+    fleet.submit_job(make_job("bad"));
+
+    // when: nothing that the owner decides after a crash becomes durable
+    for (int owners = 0; owners < 12; ++owners) {
+        const std::int64_t crashes = fleet.crashes[crashing_task];
+        fleet.commits = true;
+        fleet.run_until([&] { return fleet.crashes[crashing_task] > crashes; }, 10'000);
+        fleet.commits = false;
+        fleet.run(2500);
+        fleet.change_owner();
+    }
+    fleet.commits = true;
+    fleet.run(20'000);
+
+    // then
+    cr_assert_leq(fleet.starts[crashing_task], allowed_starts);
+}
+
+Test(crashing_tasks, crash_that_is_recognised_after_the_leases_have_expired_counts)
+{
+    // given
+    crash_fixture fleet(make_workers(6));
+    fleet.run(500);
+    fleet.submit_job(make_long_running_job("bad", 1));
+
+    // when: each worker that runs it is back only after its leases have expired
+    for (int crashes = 0; crashes < 12; ++crashes) {
+        const std::int64_t starts = fleet.starts[crashing_task];
+        if (!fleet.run_until([&] { return fleet.starts[crashing_task] > starts; }, 20'000)) {
+            break;
+        }
+        for (int i = 0; i < 6; ++i) {
+            if (fleet.running_on("w" + std::to_string(i)) > 0) {
+                fleet.crash("w" + std::to_string(i), 9000);
+            }
+        }
+    }
+
+    // then
+    cr_assert_leq(fleet.starts[crashing_task], allowed_starts);
+}
+
+Test(crashing_tasks, long_running_task_that_crashes_each_worker_is_given_up)
+{
+    // given
+    crash_fixture fleet(make_workers(4));
+    fleet.crashing_jobs = {"bad"};
+    fleet.run(500);
+
+    // when
+    fleet.submit_job(make_long_running_job("bad", 1));
+    fleet.run(60'000);
+
+    // then
+    cr_assert(fleet.state_of("bad") == jobs::job_state::failed);
+    cr_assert_leq(fleet.starts[crashing_task], allowed_starts);
+}
+
+Test(crashing_tasks, gang_that_crashes_its_workers_is_given_up)
+{
+    // given
+    crash_fixture fleet(make_workers(4));
+    fleet.crashing_jobs = {"bad"};
+    jobs::job gang = make_job("bad", 3);
+    gang.steps[0].gang = true;
+    fleet.run(500);
+
+    // when
+    fleet.submit_job(gang);
+    fleet.run(60'000);
+
+    // then
+    cr_assert(fleet.state_of("bad") == jobs::job_state::failed);
+    for (const auto& [task, starts] : fleet.starts) {
+        cr_assert_leq(starts, allowed_starts);
+    }
+}
+
+Test(crashing_tasks, third_crash_takes_no_other_run_along)
+{
+    // given
+    crash_fixture fleet(make_workers(4));
+    fleet.crashing_jobs = {"bad"};
+    fleet.run(500);
+
+    // when
+    for (int i = 0; i < 200; ++i) {
+        fleet.submit_job(make_job("good" + std::to_string(i)));
+    }
+    fleet.submit_job(make_job("bad"));
+    const bool crashed = fleet.run_until([&] { return fleet.crashes[crashing_task] >= 3; }, 60'000);
+
+    // then
+    cr_assert(crashed);
+    cr_assert_eq(fleet.lost_at_last_crash, 1);
+}
+
+Test(crashing_tasks, isolation_does_not_wait_for_a_full_pool_to_become_idle)
+{
+    // given: a pool whose workers all have a long-running task and a backlog
+    crash_fixture fleet(make_workers(4));
+    fleet.crashing_jobs = {"bad"};
+    jobs::job serving = make_long_running_job("serving", 4);
+    serving.steps[0].max_per_vm = 1;
+    fleet.submit_job(serving);
+    fleet.run(1000);
+    for (int i = 0; i < 600; ++i) {
+        fleet.submit_job(make_job("good" + std::to_string(i)));
+    }
+    fleet.submit_job(make_job("bad"));
+
+    // when
+    const bool given_up =
+        fleet.run_until([&] { return fleet.state_of("bad") == jobs::job_state::failed; }, 90'000);
+
+    // then
+    cr_assert(given_up);
+    cr_assert_leq(fleet.starts[crashing_task], allowed_starts);
+}
+
+Test(crashing_tasks, workers_that_crash_by_themselves_fail_no_job)
+{
+    // given
+    crash_fixture fleet(make_workers(6));
+    fleet.run(500);
+    for (int i = 0; i < 120; ++i) {
+        fleet.submit_job(make_job("good" + std::to_string(i)));
+    }
+
+    // when: one worker after another crashes, with all that it runs
+    for (int i = 0; i < 24; ++i) {
+        fleet.run(1500);
+        fleet.crash("w" + std::to_string(i % 6));
+    }
+    fleet.run(30'000);
+
+    // then
+    for (int i = 0; i < 120; ++i) {
+        cr_assert(fleet.state_of("good" + std::to_string(i)) == jobs::job_state::completed);
+    }
+}
+
+Test(crashing_tasks, worker_that_was_cut_off_and_runs_on_has_not_crashed)
+{
+    // given
+    crash_fixture fleet(make_workers(2));
+    fleet.run(500);
+    fleet.submit_job(make_long_running_job("serving", 1));
+
+    // when: each worker that gets the task is cut off for longer than its leases
+    for (int i = 0; i < 6; ++i) {
+        fleet.run(200);
+        fleet.silence(fleet.running_on("w0") > 0 ? "w0" : "w1", 9000);
+        fleet.run(12'000);
+    }
+
+    // then
+    cr_assert(fleet.state_of("serving") == jobs::job_state::running);
+    cr_assert_gt(fleet.starts.at({"serving", 0, 0, 0}), allowed_starts);
+}
+
+Test(crashing_tasks, restarts_after_planned_moves_are_not_crashes)
+{
+    // given
+    crash_fixture fleet(make_workers(2));
+    fleet.run(500);
+    fleet.submit_job(make_long_running_job("serving", 1));
+
+    // when: its worker is replaced by our own order, right after each start
+    for (int i = 0; i < 6; ++i) {
+        const std::int64_t starts = fleet.starts[{"serving", 0, 0, 0}];
+        fleet.run_until([&] { return fleet.starts[{"serving", 0, 0, 0}] > starts; }, 20'000);
+        const std::string worker = fleet.running_on("w0") > 0 ? "w0" : "w1";
+        fleet.owner->under_test.set_cordon(worker, true);
+        fleet.crash(worker);
+    }
+    fleet.run(5000);
+
+    // then
+    cr_assert(fleet.state_of("serving") == jobs::job_state::running);
+}
+
+} // namespace
--- a/src/scheduling/tests/progress_tests.cpp
+++ b/src/scheduling/tests/progress_tests.cpp
@@ -27,6 +27,29 @@
     cr_assert(read.value() == value);
 }
 
+Test(progress, crashes_are_stored_where_earlier_versions_do_not_read)
+{
+    // given
+    jobs::job job;
+    job.steps.resize(2);
+    job.steps[1].count = 3;
+    job_progress value = initial_progress(job);
+    value.tasks[0][1][1].run = 2;
+    const std::string without_crashes = encode_progress(value);
+    value.tasks[0][1][1].crashes = 2;
+    value.tasks[0][1][2] = {task_progress::phase::open, 1, 0, {"w-1", 77}, {}, 1};
+
+    // when
+    const auto read = decode_progress(encode_progress(value), "store");
+    const auto earlier = decode_progress(without_crashes, "store");
+
+    // then
+    cr_assert(read.has_value());
+    cr_assert(read.value() == value);
+    cr_assert(earlier.has_value());
+    cr_assert_eq(earlier.value().tasks[0][1][1].crashes, 0);
+}
+
 Test(progress, malformed_input_is_an_error)
 {
     // given, when
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "scheduling/messages.h"
@@ -43,6 +44,10 @@
 
     teams::resources used; ///< by all runs that may exist there
     std::set<jobs::task_id> runs;
+    std::set<jobs::task_id> suspects; ///< runs of tasks under which workers have crashed
+    /// The worker gets no other new task until this one has survived its start.
+    std::optional<jobs::task_id> isolated_task;
+    common::steady_time isolated_since;
 
     std::int64_t consecutive_failures = 0; ///< runs that ended `failed` since the last `done`
     common::steady_time last_success;
