Weigh how certain a crash is, and store unexplained losses

An innocent job was given up: starts that were not answered, sent to a worker that was already gone, counted like crashes. A crashing task was started a third time after its third crash: a loss behind a silent worker was forgotten when the owner changed before the worker was back. Long-running tasks counted as starting after each takeover.

- A crash is certain if the worker had accepted the start or reported the run.
Three certain crashes, or five of any kind, end the job.
- Of several unanswered starts on a lost worker only the first counts.
- An unexplained loss is stored as a crash that is not certain; a new owner gives up what has reached the limit.
- That a long-running task has survived its start is stored.
- A third of a pool's workers may be held, before a quarter.

--- a/src/scheduling/crash_ledger.cpp
+++ b/src/scheduling/crash_ledger.cpp
@@ -17,41 +17,41 @@
                                                          : worker_loss::crashed;
 }
 
-void crash_ledger::add(const worker_entry& lost, std::vector<jobs::task_id> tasks,
+void crash_ledger::add(const worker_entry& lost, std::vector<lost_start> starts,
                        common::steady_time now)
 {
-    if (tasks.empty()) {
+    if (starts.empty()) {
         return;
     }
     loss& known = this->losses[lost.instance];
     known.worker = lost;
     known.at = now;
-    for (jobs::task_id& each : tasks) {
-        ++this->count_by_task[each];
-        known.tasks.push_back(std::move(each));
+    for (lost_start& each : starts) {
+        ++this->count_by_task[each.task];
+        known.starts.push_back(std::move(each));
     }
 }
 
 void crash_ledger::forget(const loss& lost)
 {
-    for (const jobs::task_id& each : lost.tasks) {
-        const auto found = this->count_by_task.find(each);
+    for (const lost_start& each : lost.starts) {
+        const auto found = this->count_by_task.find(each.task);
         if (--found->second == 0) {
             this->count_by_task.erase(found);
         }
     }
 }
 
-std::vector<jobs::task_id> crash_ledger::take_crashed(const worker_entry& added)
+std::vector<lost_start> crash_ledger::take_crashed(const worker_entry& added)
 {
-    std::vector<jobs::task_id> crashed;
+    std::vector<lost_start> crashed;
     std::erase_if(this->losses, [&](const auto& each) {
         const worker_entry& lost = each.second.worker;
         const bool replaced =
             lost.instance.started_at_ms < added.instance.started_at_ms &&
             (lost.instance.id == added.instance.id || (!lost.vm.empty() && lost.vm == added.vm));
         if (replaced && (lost.pool.empty() || lost.pool == added.pool)) {
-            crashed.insert(crashed.end(), each.second.tasks.begin(), each.second.tasks.end());
+            crashed.insert(crashed.end(), each.second.starts.begin(), each.second.starts.end());
         }
         if (replaced) {
             this->forget(each.second);
@@ -61,24 +61,31 @@
     return crashed;
 }
 
-void crash_ledger::remove(const worker_instance& alive)
+std::vector<lost_start> crash_ledger::take_alive(const worker_instance& alive)
 {
     const auto found = this->losses.find(alive);
-    if (found != this->losses.end()) {
-        this->forget(found->second);
-        this->losses.erase(found);
+    if (found == this->losses.end()) {
+        return {};
     }
+    this->forget(found->second);
+    std::vector<lost_start> starts = std::move(found->second.starts);
+    this->losses.erase(found);
+    return starts;
 }
 
-void crash_ledger::expire(common::steady_time now)
+std::vector<lost_start> crash_ledger::take_expired(common::steady_time now)
 {
-    std::erase_if(this->losses, [this, now](const auto& each) {
-        const bool expired = now >= each.second.at + loss_retention;
-        if (expired) {
-            this->forget(each.second);
+    std::vector<lost_start> expired;
+    std::erase_if(this->losses, [&](const auto& each) {
+        const auto& [instance, lost] = each;
+        const bool is_expired = now >= lost.at + loss_retention;
+        if (is_expired) {
+            this->forget(lost);
+            expired.insert(expired.end(), lost.starts.begin(), lost.starts.end());
         }
-        return expired;
+        return is_expired;
     });
+    return expired;
 }
 
 std::int64_t crash_ledger::count(const jobs::task_id& task) const
--- a/src/scheduling/crash_ledger.h
+++ b/src/scheduling/crash_ledger.h
@@ -8,7 +8,10 @@
 namespace chervilslip::scheduling {
 
 /// A task is given up when this many workers have crashed while they were starting it.
-inline constexpr std::int64_t max_crashes = 3;
+inline constexpr std::int64_t max_crashes = 5;
+
+/// It is given up earlier, after this many crashes, if each of the runs had surely begun.
+inline constexpr std::int64_t max_certain_crashes = 3;
 
 /// A task under which this many workers have crashed is started in isolation only.
 inline constexpr std::int64_t isolation_crashes = 2;
@@ -27,22 +30,31 @@
 /// safe.
 worker_loss loss_of_replaced(const worker_state& lost, const worker_entry& successor);
 
+/// A run that was lost with its worker before it had survived its start.
+struct lost_start {
+    jobs::task_id task;
+    bool begun = false; ///< the worker has accepted the start or reported the run
+
+    friend bool operator==(const lost_start&, const lost_start&) = default;
+};
+
 /// Runs that were lost for an unexplained reason, until their worker instance is found to be alive
 /// or to have been replaced. Not thread safe.
 class crash_ledger {
 public:
-    /// Records tasks that were starting on a lost instance.
-    void add(const worker_entry& lost, std::vector<jobs::task_id> tasks, common::steady_time now);
+    /// Records runs that were starting on a lost instance.
+    void add(const worker_entry& lost, std::vector<lost_start> starts, common::steady_time now);
 
-    /// Returns the tasks that were lost with earlier instances on the VM, or under the id, of an
+    /// Returns the runs that were lost with earlier instances on the VM, or under the id, of an
     /// instance that was added, and removes them.
-    std::vector<jobs::task_id> take_crashed(const worker_entry& added);
+    std::vector<lost_start> take_crashed(const worker_entry& added);
 
-    /// Removes the tasks of an instance that has responded again.
-    void remove(const worker_instance& alive);
+    /// Returns the runs of an instance that has responded again, and removes them.
+    std::vector<lost_start> take_alive(const worker_instance& alive);
 
-    /// Removes the tasks whose instances have been neither replaced nor heard of for too long.
-    void expire(common::steady_time now);
+    /// Returns the runs whose instances have been neither replaced nor heard of for too long, and
+    /// removes them.
+    std::vector<lost_start> take_expired(common::steady_time now);
 
     /// Returns how many unexplained losses of a task's runs are recorded.
     [[nodiscard]] std::int64_t count(const jobs::task_id& task) const;
@@ -50,7 +62,7 @@
 private:
     struct loss {
         worker_entry worker;
-        std::vector<jobs::task_id> tasks;
+        std::vector<lost_start> starts;
         common::steady_time at;
     };
 
--- a/src/scheduling/progress.cpp
+++ b/src/scheduling/progress.cpp
@@ -15,32 +15,37 @@
 constexpr std::size_t fields_of_waiting_task = 3;
 constexpr std::size_t fields_of_open_task = 5;
 
-// Tasks under which workers have crashed follow in a list of their own, which earlier versions
-// neither write nor read.
+// What is known of starts that may crash the worker follows in a list of its own, which earlier
+// versions neither write nor read.
 constexpr std::size_t fields_of_progress = 3;
+constexpr std::size_t fields_of_start_record = 6;
 
-struct crash_count {
+struct start_record {
     std::size_t occurrence = 0;
     std::size_t step = 0;
     std::size_t index = 0;
     std::int64_t crashes = 0;
+    std::int64_t certain_crashes = 0;
+    bool survived = false;
 
-    friend bool operator==(const crash_count&, const crash_count&) = default;
+    friend bool operator==(const start_record&, const start_record&) = default;
 };
 
-std::vector<crash_count> crash_counts(const job_progress& value)
+std::vector<start_record> start_records(const job_progress& value)
 {
-    std::vector<crash_count> counts;
+    std::vector<start_record> records;
     for (std::size_t k = 0; k < value.tasks.size(); ++k) {
         for (std::size_t s = 0; s < value.tasks[k].size(); ++s) {
             for (std::size_t i = 0; i < value.tasks[k][s].size(); ++i) {
-                if (value.tasks[k][s][i].crashes > 0) {
-                    counts.push_back({k, s, i, value.tasks[k][s][i].crashes});
+                const task_progress& task = value.tasks[k][s][i];
+                const std::int64_t crashes = task.crashes + task.unexplained_losses;
+                if (crashes > 0 || task.survived) {
+                    records.push_back({k, s, i, crashes, task.certain_crashes, task.survived});
                 }
             }
         }
     }
-    return counts;
+    return records;
 }
 
 void write_task(msgpack_writer& to, const task_progress& value)
@@ -100,8 +105,8 @@
 {
     std::string bytes;
     msgpack_writer to(bytes);
-    const std::vector<crash_count> counts = crash_counts(value);
-    to.array(counts.empty() ? fields_of_progress : fields_of_progress + 1)
+    const std::vector<start_record> records = start_records(value);
+    to.array(records.empty() ? fields_of_progress : fields_of_progress + 1)
         .add(static_cast<int>(value.state))
         .add(value.ended_ms)
         .array(value.tasks.size());
@@ -114,11 +119,17 @@
             }
         }
     }
-    if (!counts.empty()) {
-        to.array(counts.size());
+    if (!records.empty()) {
+        to.array(records.size());
     }
-    for (const crash_count& each : counts) {
-        to.array(4).add(each.occurrence).add(each.step).add(each.index).add(each.crashes);
+    for (const start_record& each : records) {
+        to.array(fields_of_start_record)
+            .add(each.occurrence)
+            .add(each.step)
+            .add(each.index)
+            .add(each.crashes)
+            .add(each.certain_crashes)
+            .add(each.survived);
     }
     return bytes;
 }
@@ -140,11 +151,13 @@
             });
             if (row.size() > fields_of_progress) {
                 row.row(fields_of_progress).for_each([&value](const msgpack::object& each) {
-                    const msgpack_row count(each);
-                    value.tasks.at(count.get<std::size_t>(0))
-                        .at(count.get<std::size_t>(1))
-                        .at(count.get<std::size_t>(2))
-                        .crashes = count.get<std::int64_t>(3);
+                    const msgpack_row record(each);
+                    task_progress& task = value.tasks.at(record.get<std::size_t>(0))
+                                              .at(record.get<std::size_t>(1))
+                                              .at(record.get<std::size_t>(2));
+                    task.crashes = record.get<std::int64_t>(3);
+                    task.certain_crashes = record.get<std::int64_t>(4);
+                    task.survived = record.get<bool>(5);
                 });
             }
             return value;
--- a/src/scheduling/progress.h
+++ b/src/scheduling/progress.h
@@ -14,6 +14,11 @@
     worker_instance worker;    ///< of the open run
     std::string checkpoint;    ///< latest known; empty: none
     std::int64_t crashes = 0;  ///< workers that crashed while starting it; 0 once it survives
+    std::int64_t certain_crashes = 0; ///< of these, under runs that had surely begun
+    /// Losses that this owner can not explain yet. Stored as crashes, because a later owner can not
+    /// explain them any more.
+    std::int64_t unexplained_losses = 0;
+    bool survived = false; ///< the open run of a long-running task has survived its start
 
     friend bool operator==(const task_progress&, const task_progress&) = default;
 };
--- a/src/scheduling/scheduler_crashes.cpp
+++ b/src/scheduling/scheduler_crashes.cpp
@@ -1,5 +1,6 @@
 // Tasks that crash the workers that start them.
 #include <algorithm>
+#include <limits>
 
 #include "scheduling/placement.h"
 #include "scheduling/scheduler.h"
@@ -16,18 +17,53 @@
 constexpr common::milliseconds max_hold_time{5000};
 
 /// Of the usable workers of a pool, one in this many may be held, and always one.
-constexpr std::size_t workers_per_hold = 4;
+constexpr std::size_t workers_per_hold = 3;
+
+/// Starts that were sent within this time may arrive in any order.
+constexpr common::milliseconds start_order_margin{100};
 
 } // namespace
 
 bool scheduler::is_starting(const worker_state& worker, const jobs::task_id& task) const
 {
     const open_run& run = this->open_runs.at(task);
-    const bool survived = run.phase == run_phase::running &&
-                          worker.clock_read_at - run.confirmed_at >= start_survival_time;
+    const task_progress& progress =
+        this->jobs_by_id.at(task.job)
+            .progress.tasks.at(static_cast<std::size_t>(task.occurrence))
+            .at(task.step)
+            .at(static_cast<std::size_t>(task.index));
+    const bool survived =
+        progress.survived || (run.phase == run_phase::running &&
+                              worker.clock_read_at - run.confirmed_at >= start_survival_time);
     return run.phase != run_phase::planned && !survived;
 }
 
+std::vector<lost_start> scheduler::starting_runs(const worker_state& worker) const
+{
+    const auto is_unanswered = [this](const jobs::task_id& task) {
+        const run_phase phase = this->open_runs.at(task).phase;
+        return phase == run_phase::sent || phase == run_phase::unanswered;
+    };
+    std::int64_t first_deadline = std::numeric_limits<std::int64_t>::max();
+    for (const jobs::task_id& task : worker.runs) {
+        if (is_unanswered(task)) {
+            first_deadline = std::min(first_deadline, this->open_runs.at(task).start_deadline_ms);
+        }
+    }
+    std::vector<lost_start> starting;
+    for (const jobs::task_id& task : worker.runs) {
+        // A worker answers in the order of arrival, so it was lost at its first unanswered start,
+        // or before.
+        const bool was_gone =
+            is_unanswered(task) && this->open_runs.at(task).start_deadline_ms >
+                                       first_deadline + start_order_margin.count();
+        if (!was_gone && this->is_starting(worker, task)) {
+            starting.push_back({task, this->open_runs.at(task).phase == run_phase::running});
+        }
+    }
+    return starting;
+}
+
 std::int64_t scheduler::suspicion_of(const active_job& job, const jobs::task_id& task) const
 {
     return job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
@@ -37,8 +73,9 @@
            this->unexplained_losses.count(task);
 }
 
-void scheduler::count_crash(const jobs::task_id& task, common::steady_time now)
+void scheduler::count_crash(const lost_start& lost, common::steady_time now)
 {
+    const jobs::task_id& task = lost.task;
     active_job* job = this->find_job(task.job);
     if (job == nullptr || jobs::is_final(job->progress.state)) {
         return;
@@ -50,6 +87,7 @@
         return;
     }
     ++progress.crashes;
+    progress.certain_crashes += lost.begun ? 1 : 0;
     const auto run = this->open_runs.find(task);
     if (run != this->open_runs.end()) {
         this->workers.at(run->second.worker.id).suspects.insert(task);
@@ -57,25 +95,65 @@
     this->mark_dirty(*job);
     const std::string count = std::to_string(progress.crashes);
     this->record(decision_record::kind::task_lost, task.to_string(),
-                 "its worker crashed while starting it, crash " + count + " of at most " +
-                     std::to_string(max_crashes));
-    if (progress.crashes >= max_crashes) {
-        job->history.failure = count + " workers crashed while starting task " + task.to_string();
-        this->finish_job(*job, jobs::job_state::failed, now);
+                 "its worker crashed while starting it, crash " + count);
+    this->give_up_if_crashing(*job, now);
+}
+
+void scheduler::give_up_if_crashing(active_job& job, common::steady_time now)
+{
+    for (std::size_t k = 0; k < job.progress.tasks.size(); ++k) {
+        for (std::size_t s = 0; s < job.progress.tasks[k].size(); ++s) {
+            for (std::size_t i = 0; i < job.progress.tasks[k][s].size(); ++i) {
+                const task_progress& task = job.progress.tasks[k][s][i];
+                // A start that was not answered may not have reached the worker before it crashed.
+                const bool crashes =
+                    task.certain_crashes >= max_certain_crashes || task.crashes >= max_crashes;
+                if (!crashes || jobs::is_final(job.progress.state)) {
+                    continue;
+                }
+                const jobs::task_id name{job.spec.id, static_cast<std::int64_t>(k), s,
+                                         static_cast<std::int64_t>(i)};
+                job.history.failure = std::to_string(task.crashes) +
+                                      " workers crashed while starting task " + name.to_string();
+                this->finish_job(job, jobs::job_state::failed, now);
+            }
+        }
+    }
+}
+
+void scheduler::note_unexplained(const std::vector<lost_start>& starts, std::int64_t change)
+{
+    for (const lost_start& each : starts) {
+        active_job* job = this->find_job(each.task.job);
+        if (job == nullptr) {
+            continue;
+        }
+        task_progress& progress =
+            job->progress.tasks.at(static_cast<std::size_t>(each.task.occurrence))
+                .at(each.task.step)
+                .at(static_cast<std::size_t>(each.task.index));
+        progress.unexplained_losses =
+            std::max<std::int64_t>(progress.unexplained_losses + change, 0);
     }
 }
 
 void scheduler::clear_if_survived(worker_state& worker, active_job& job, const jobs::task_id& task)
 {
-    if (!worker.suspects.contains(task) || this->is_starting(worker, task)) {
+    task_progress& progress = job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
+                                  .at(task.step)
+                                  .at(static_cast<std::size_t>(task.index));
+    const bool is_suspect = worker.suspects.contains(task);
+    const bool is_noted = progress.survived || !job.spec.steps.at(task.step).long_running;
+    if ((!is_suspect && is_noted) || this->is_starting(worker, task) ||
+        progress.state != task_progress::phase::open) {
         return;
     }
     worker.suspects.erase(task);
     this->release_hold(task);
-    job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
-        .at(task.step)
-        .at(static_cast<std::size_t>(task.index))
-        .crashes = 0;
+    progress.crashes = 0;
+    progress.certain_crashes = 0;
+    // The next owner does not know how long a task has run.
+    progress.survived = job.spec.steps.at(task.step).long_running;
     this->mark_dirty(job);
 }
 
@@ -83,7 +161,7 @@
                                      const ticket_cache* tickets, common::steady_time now)
 {
     const std::int64_t suspicion = this->suspicion_of(job, task);
-    if (suspicion >= max_crashes) {
+    if (this->unexplained_losses.count(task) > 0 && suspicion >= max_certain_crashes) {
         return false; // waits until it is known whether its workers have crashed
     }
     return suspicion < isolation_crashes || this->hold_worker(job, task, tickets, now);
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -360,7 +360,9 @@
     teams::resources total;
     for (std::int64_t i = 0; i < spec.count; ++i) {
         total += size;
-        if (this->suspicion_of(job, {job.spec.id, occurrence, step, i}) >= max_crashes) {
+        const jobs::task_id member{job.spec.id, occurrence, step, i};
+        if (this->unexplained_losses.count(member) > 0 &&
+            this->suspicion_of(job, member) >= max_certain_crashes) {
             return false;
         }
     }
@@ -423,6 +425,7 @@
     progress.state = task_progress::phase::open;
     progress.run = run;
     progress.worker = worker.entry.instance;
+    progress.survived = false;
     step_count& counts = job.counts.at(static_cast<std::size_t>(task.occurrence)).at(task.step);
     --counts.waiting;
     ++counts.open;
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -94,6 +94,7 @@
     if (stored.cancelled || this->pending_cancels.erase(id) > 0) {
         this->cancel_job(id, now);
     }
+    this->give_up_if_crashing(job, now);
     if (jobs::is_final(job.progress.state)) {
         this->stop_all_runs(job, now);
         this->mark_dirty(job);
@@ -350,6 +351,7 @@
     }
     if (cause == end_cause::done) {
         progress.crashes = 0;
+        progress.certain_crashes = 0;
     }
     if (cause == end_cause::failed) {
         ++progress.failures;
@@ -405,6 +407,7 @@
     step_count& counts = job.counts.at(occurrence).at(task.step);
     progress.state = task_progress::phase::waiting;
     progress.worker = {};
+    progress.survived = false;
     --counts.open;
     ++counts.waiting;
     this->mark_dirty(job);
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -100,8 +100,10 @@
         known.idle_since = now;
         this->record(decision_record::kind::worker_added, entry.instance.id,
                      "pool " + entry.pool + ", VM " + entry.vm);
-        for (const jobs::task_id& task : this->unexplained_losses.take_crashed(entry)) {
-            this->count_crash(task, now);
+        const std::vector<lost_start> crashed = this->unexplained_losses.take_crashed(entry);
+        this->note_unexplained(crashed, -1);
+        for (const lost_start& each : crashed) {
+            this->count_crash(each, now);
         }
     }
     const bool began_draining = entry.draining && !known.entry.draining;
@@ -117,10 +119,7 @@
                                common::steady_time now)
 {
     const std::set<jobs::task_id> runs = worker.runs;
-    std::vector<jobs::task_id> starting;
-    std::copy_if(
-        runs.begin(), runs.end(), std::back_inserter(starting),
-        [this, &worker](const jobs::task_id& task) { return this->is_starting(worker, task); });
+    std::vector<lost_start> starting = this->starting_runs(worker);
     for (const jobs::task_id& task : runs) {
         this->mark_run_lost(task, why);
     }
@@ -128,11 +127,12 @@
         return;
     }
     if (how == worker_loss::unexplained) {
+        this->note_unexplained(starting, 1);
         this->unexplained_losses.add(worker.entry, std::move(starting), now);
         return;
     }
-    for (const jobs::task_id& task : starting) {
-        this->count_crash(task, now);
+    for (const lost_start& each : starting) {
+        this->count_crash(each, now);
     }
 }
 
@@ -207,7 +207,7 @@
     worker->token_seen = true;
     worker->clock_ms = answer.report.clock_ms;
     worker->clock_read_at = now;
-    this->unexplained_losses.remove(worker->entry.instance);
+    this->note_unexplained(this->unexplained_losses.take_alive(worker->entry.instance), -1);
     for (const finished_run& finished : answer.report.finished) {
         if (finished.number > worker->last_handled_end) {
             worker->last_handled_end = finished.number;
@@ -393,7 +393,7 @@
 
 void scheduler::expire_workers(common::steady_time now)
 {
-    this->unexplained_losses.expire(now);
+    this->note_unexplained(this->unexplained_losses.take_expired(now), -1);
     this->release_expired_holds(now);
     for (auto each = this->workers.begin(); each != this->workers.end();) {
         worker_state& worker = each->second;
