Check the capacity again when a planned start is sent

The start was sent all the same and brought a worker that does not guard its capacity over it.

A planned start is now withdrawn if the runs of its worker exceed the capacity. If it belongs to a gang, its other members are withdrawn or stopped too, instead of waiting alone.

capacity_changes_tests, without the change: planned_start_is_not_sent_after_the_capacity_has_shrunk: The expression (fixture.starts.size()) == (2) is false gang_is_not_left_in_part_after_a_capacity_has_shrunk: std::any_of(fixture.stops...) is false The two other cases (a worker above its shrunk capacity until it has grown, a new owner with inherited runs) held before. Runs above a shrunk capacity are not stopped.

--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -236,6 +236,7 @@
     void mark_runs_lost(worker_state& worker, worker_loss how, std::string_view why,
                         common::steady_time now);
     void expire_workers(common::steady_time now);
+    void withdraw_start(const active_job& job, const jobs::task_id& task, common::steady_time now);
     void request_stop(const jobs::task_id& task, open_run& run, common::steady_time now);
     [[nodiscard]] std::int64_t deadline_for(const worker_state& worker, common::steady_time now,
                                             common::milliseconds time) const;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -449,8 +449,10 @@
 {
     active_job& job = this->jobs_by_id.at(task.job);
     worker_state* worker = this->find_worker(run.worker);
-    if (worker == nullptr || !is_usable(*worker, now) || !this->may_start(now)) {
-        this->mark_run_lost(task, "the worker or the owner may not start it any more");
+    // The capacity may have shrunk since the run was planned.
+    const bool fits = worker != nullptr && worker->entry.capacity.can_fit(worker->used);
+    if (!fits || !is_usable(*worker, now) || !this->may_start(now)) {
+        this->withdraw_start(job, task, now);
         return;
     }
     start_command command;
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -315,6 +315,28 @@
     }
 }
 
+void scheduler::withdraw_start(const active_job& job, const jobs::task_id& task,
+                               common::steady_time now)
+{
+    const jobs::step& step = job.spec.steps.at(task.step);
+    this->mark_run_lost(task, "the worker or the owner may not start it any more");
+    if (!step.gang) {
+        return;
+    }
+    for (std::int64_t i = 0; i < step.count; ++i) {
+        const jobs::task_id member{task.job, task.occurrence, task.step, i};
+        const auto run = this->open_runs.find(member);
+        if (run == this->open_runs.end()) {
+            continue;
+        }
+        if (run->second.phase == run_phase::planned) {
+            this->mark_run_lost(member, "another member of its gang may not be started");
+        } else {
+            this->request_stop(member, run->second, now);
+        }
+    }
+}
+
 void scheduler::handle_start_result(const command_result& answer, common::steady_time now)
 {
     this->last_now = now;
