Keep the runs of a newer instance when an earlier one ends

A new owner may inherit open runs on two instances of one worker, if the worker restarted shortly before. It kept one instance for all of them. If that was the earlier one, the registry's entry ended all runs, also those on the newer instance, which were started again while they ran. If it was the newer one, the run on the earlier instance was taken as never begun, so the crash under it was not counted.

The earliest instance is kept until the registry is applied, and then the runs on the listed instance stay.

--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -233,6 +233,9 @@
                            common::steady_time now);
     void reconcile_missing(worker_state& worker, const poll_result& answer);
     void throttle_best_effort_runs(worker_state& worker, common::steady_time now);
+    [[nodiscard]] std::set<jobs::task_id> runs_on(const worker_instance& instance,
+                                                  const worker_state& worker) const;
+    void add_run_to(worker_state& worker, const jobs::task_id& task) const;
     void mark_runs_lost(worker_state& worker, worker_loss how, std::string_view why,
                         common::steady_time now);
     void expire_workers(common::steady_time now);
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -82,6 +82,9 @@
                     worker.entry.instance = task.worker;
                     worker.listed = false;
                     worker.leases_end_by = now + this->options.inherited_lease;
+                } else if (task.worker.started_at_ms < worker.entry.instance.started_at_ms) {
+                    // The registry names the latest instance, and ends the runs of earlier ones.
+                    worker.entry.instance = task.worker;
                 }
                 worker.runs.insert(name);
                 if (task.crashes > 0) {
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -92,10 +92,19 @@
                 known.listing = this->last_listing;
                 return; // outdated entry of an earlier instance
             }
+        }
+        const std::set<jobs::task_id> kept = this->runs_on(entry.instance, known);
+        std::erase_if(known.runs, [&kept](const auto& each) { return kept.contains(each); });
+        if (!known.entry.instance.id.empty()) {
             this->mark_runs_lost(known, loss_of_replaced(known, entry), "the worker restarted",
                                  now);
         }
+        const common::steady_time leases_end_by = known.leases_end_by;
         known = worker_state{};
+        for (const jobs::task_id& task : kept) {
+            known.leases_end_by = leases_end_by;
+            this->add_run_to(known, task);
+        }
         known.next_poll = now;
         known.idle_since = now;
         this->record(decision_record::kind::worker_added, entry.instance.id,
@@ -115,6 +124,26 @@
     }
 }
 
+std::set<jobs::task_id> scheduler::runs_on(const worker_instance& instance,
+                                           const worker_state& worker) const
+{
+    std::set<jobs::task_id> found;
+    std::copy_if(
+        worker.runs.begin(), worker.runs.end(), std::inserter(found, found.end()),
+        [&](const jobs::task_id& task) { return this->open_runs.at(task).worker == instance; });
+    return found;
+}
+
+void scheduler::add_run_to(worker_state& worker, const jobs::task_id& task) const
+{
+    const active_job& job = this->jobs_by_id.at(task.job);
+    worker.runs.insert(task);
+    worker.used += footprint(job.spec.steps.at(task.step));
+    if (this->suspicion_of(job, task) > 0) {
+        worker.suspects.insert(task);
+    }
+}
+
 void scheduler::mark_runs_lost(worker_state& worker, worker_loss how, std::string_view why,
                                common::steady_time now)
 {
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -415,4 +415,29 @@
     cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::running);
 }
 
+Test(scheduler_recovery, run_on_a_newer_instance_outlives_the_end_of_an_earlier_one)
+{
+    // given: open runs on two instances of a worker, of which the registry names the newer
+    for (const std::int64_t first : {1, 2}) {
+        stored_job stored{make_job("j1", 2), initial_progress(make_job("j1", 2)), false};
+        for (std::size_t i = 0; i < 2; ++i) {
+            task_progress& task = stored.progress->tasks[0][0][i];
+            task.state = task_progress::phase::open;
+            task.run = 1;
+            task.worker = {"w1", i == 0 ? first : 3 - first};
+        }
+        worker_entry newer = make_worker("w1");
+        newer.instance.started_at_ms = 2;
+
+        // when
+        scheduler_fixture fixture({newer, make_worker("w2")}, {stored});
+        fixture.answer_poll("w2");
+        fixture.advance(fixture.now_ms + 200);
+
+        // then: only the run on the earlier instance is restarted
+        cr_assert_eq(fixture.starts.size(), 1);
+        cr_assert_eq(fixture.starts[0].task.index, first - 1 == 0 ? 0 : 1);
+    }
+}
+
 } // namespace
