Play crashing tasks and changing capacities in the fleet soak

New checks: crash_budget (at most two starts of a crashing task after three crashes under it), innocent_not_given_up (a job is shown as failed only after its attempts, or after two real crashes under one of its tasks), crashing_job_ends. `capacity` compares with the worker's present capacity, or the one before for 2.5 s after it has shrunk; without the new trouble that is the same bound as before. A long-running job may be given up by the same bound where tasks crash; without them it has to be at work at the end, as before. The calm time is 60 s with crashing tasks, because they go on until they are given up. The new trouble draws from a random source of its own, so the seeds of the other tests play the same as before.

--- a/src/soak/fleet_world.cpp
+++ b/src/soak/fleet_world.cpp
@@ -7,17 +7,18 @@
 using scheduling::end_cause;
 
 constexpr std::int64_t calm_ms = 30'000; ///< longer than any order can be late, and a hold
+/// Crashing tasks go on until they are given up.
+constexpr std::int64_t calm_after_crashes_ms = 60'000;
 constexpr std::int64_t owner_tick_ms = 15;
-constexpr std::int64_t registry_lag_ms = 4500;
 constexpr std::int64_t team_limit = 20'000;
-constexpr std::int64_t vm_processors = 6000;
-constexpr std::int64_t max_attempts = 3;
 constexpr std::int64_t unix_origin = 1'700'000'000'000;
 constexpr std::size_t most_traces = 5;
+constexpr double crashing_share = 0.08; ///< of the jobs
 
 } // namespace
 
-fleet_world::fleet_world(fleet_world_options wanted) : options(wanted), random(wanted.seed)
+fleet_world::fleet_world(fleet_world_options wanted)
+    : options(wanted), random(wanted.seed), crash_random(~wanted.seed)
 {
 }
 
@@ -82,11 +83,18 @@
         this->at(time, [this] { this->trouble_worker(); });
         this->at(time + 70, [this] { this->cancel_some_job(); });
     }
+    for (std::int64_t time = 1500;
+         time < this->options.duration_ms && this->options.changing_capacity;
+         time += 300 + static_cast<std::int64_t>(this->crash_random.below(1500))) {
+        this->at(time, [this] { this->change_capacity(); });
+    }
+    this->at(this->options.duration_ms, [this] { this->restore_capacities(); });
     for (std::int64_t time = 3000; time < this->options.duration_ms;
          time += 2500 + static_cast<std::int64_t>(this->random.below(6000))) {
         this->at(time, [this] { this->change_owner(); });
     }
-    this->advance_to(this->options.duration_ms + calm_ms);
+    this->advance_to(this->options.duration_ms +
+                     (this->options.crashing_tasks ? calm_after_crashes_ms : calm_ms));
     this->check_calm();
     return this->report;
 }
@@ -97,10 +105,15 @@
     hooks.on_start = [this](const fakes::run_model& at, fakes::run_request& request) {
         this->check_start(at, request.task);
         this->choose_end(request);
+        if (this->is_crashing(request.task)) {
+            this->crash_soon(at.entry().instance.id, request.task, request.run);
+        }
     };
     hooks.on_end = [this](const jobs::task_id& task, end_cause cause) {
         if (cause == end_cause::done) {
             this->jobs.at(task.job).done.insert(task);
+        } else if (cause == end_cause::failed) {
+            ++this->jobs.at(task.job).all_failures[task];
         }
     };
     hooks.on_noted = [this](const scheduling::finished_run& row, bool lapsed) {
@@ -159,6 +172,8 @@
     job_truth& truth = this->jobs[job.id];
     truth.job = job;
     truth.hopeless = !lasts && this->random.chance(0.05);
+    truth.crashes =
+        this->options.crashing_tasks && !lasts && this->crash_random.chance(crashing_share);
     ++this->report.jobs;
     if (this->current && !this->current->gone && this->random.chance(0.8) &&
         this->options.fault != fleet_fault::lost_jobs) {
@@ -201,20 +216,7 @@
         which.cut_until = this->now + 500 + static_cast<std::int64_t>(this->random.below(9000));
         return;
     }
-    which.alive = false;
-    which.runs.crash();
-    which.listed_until = this->now + registry_lag_ms;
-    const std::string id = which.runs.entry().instance.id;
-    this->at(this->now + 500 + static_cast<std::int64_t>(this->random.below(6000)), [this, id] {
-        worker_model& reborn = this->worker_of(id);
-        const std::int64_t born = reborn.runs.entry().instance.started_at_ms + this->now + 1;
-        reborn.alive = true;
-        reborn.runs.begin_life({id, born},
-                               static_cast<std::int64_t>(this->random.below(1'000'000)));
-        if (this->current) {
-            this->tell_workers(this->current);
-        }
-    });
+    this->crash_worker(which);
 }
 
 void fleet_world::change_owner()
@@ -245,7 +247,7 @@
         one.cancelled = this->stored_cancels.contains(id);
         const auto progress = this->stored_progress.find(id);
         if (progress != this->stored_progress.end()) {
-            one.progress = scheduling::decode_progress(progress->second, id).value();
+            one.progress = this->progress_for_owner(id);
         }
     }
     made->authority_until = this->now + owner_tick_ms;
@@ -295,6 +297,9 @@
     for (const worker_model& each : this->workers) {
         if (each.alive || this->now < each.listed_until) {
             entries.push_back(each.runs.entry());
+            if (this->options.fault == fleet_fault::unseen_shrinking) {
+                entries.back().capacity.processors = vm_processors;
+            }
             if (this->options.fault == fleet_fault::oversold_capacity) {
                 entries.back().capacity.processors += vm_processors;
             }
@@ -332,6 +337,9 @@
 void fleet_world::choose_end(fakes::run_request& request)
 {
     const job_truth& truth = this->jobs.at(request.task.job);
+    if (this->is_crashing(request.task)) {
+        return; // its worker crashes before it ends
+    }
     request.fails = truth.hopeless || this->random.chance(0.02);
     if (!truth.job.steps.at(request.task.step).long_running) {
         request.ends = this->now + 200 + static_cast<std::int64_t>(this->random.below(1800));
@@ -361,7 +369,9 @@
     bool alone = true;
     std::int64_t used = step.task_resources.processors;
     std::int64_t team = step.task_resources.processors;
+    std::int64_t capacity = vm_processors;
     for (const worker_model& each : this->workers) {
+        capacity = &each.runs == &at ? this->counted_processors(each) : capacity;
         alone = alone && !each.runs.runs().contains(task);
         for (const auto& [other, run] : each.runs.runs()) {
             const auto size =
@@ -377,7 +387,8 @@
     const auto seen = truth.done_seen.find(task);
     this->check("not_long_after_seen_done",
                 seen == truth.done_seen.end() || this->now <= seen->second + late_start_ms, detail);
-    this->check("capacity", used <= vm_processors, detail);
+    this->check("capacity", used <= capacity, detail);
+    this->check_crash_budget(task);
     this->check("team_limit", team <= team_limit, detail);
     const auto failures = truth.failures.find(task);
     this->check("attempts",
@@ -406,12 +417,20 @@
         }
         const auto closed = this->stored_closed.find(id);
         const bool ended = closed != this->stored_closed.end();
+        if (this->options.crashing_tasks && ended && truth.job.is_long_running() &&
+            !truth.cancelled) {
+            this->check_given_up(id, closed->second);
+            continue;
+        }
         if (truth.job.is_long_running() && !truth.cancelled) {
             for (std::int64_t i = 0; i < truth.job.steps[0].count; ++i) {
                 this->check("lasting_runs", at_work.contains({id, 0, 0, i}), id);
             }
             continue;
         }
+        if (ended) {
+            this->check_given_up(id, closed->second);
+        }
         this->check("job_ends", ended, id);
         this->check("nothing_left", !runs, id);
         if (ended && closed->second == jobs::job_state::completed) {
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -22,6 +22,9 @@
     dropped_dependency, ///< the cell is told that steps wait for nothing
     raised_attempts,    ///< the cell is told of more attempts
     lost_jobs,          ///< accepted jobs are not handed to owners
+    forgotten_crashes,  ///< a new owner is not told of earlier crashes
+    invented_crashes,   ///< a new owner is told of crashes that did not happen
+    unseen_shrinking,   ///< the owner is not told of shrunk capacities
 };
 
 /// What is run.
@@ -29,6 +32,8 @@
     std::uint64_t seed = 1;
     std::int64_t duration_ms = 60'000; ///< of trouble; a calm time follows
     int workers = 6;
+    bool crashing_tasks = false;    ///< some tasks crash each worker that starts them
+    bool changing_capacity = false; ///< workers' capacities shrink and grow
     fleet_fault fault = fleet_fault::none;
 
     friend bool operator==(const fleet_world_options&, const fleet_world_options&) = default;
@@ -62,6 +67,8 @@
         bool alive = true;
         std::int64_t listed_until = 0; ///< while it is not alive
         std::int64_t cut_until = 0;
+        std::int64_t earlier_processors = 0; ///< before the capacity shrank
+        std::int64_t shrunk_at = 0;
     };
 
     struct owner_model {
@@ -77,14 +84,21 @@
         jobs::job job;
         bool cancelled = false;
         bool hopeless = false;
+        bool crashes = false; ///< its first task crashes its workers
+        std::map<jobs::task_id, std::int64_t> crash_count;
+        std::map<jobs::task_id, std::int64_t> starts_after_crashes;
         std::map<jobs::task_id, std::int64_t> failures; ///< that were acknowledged
         std::set<jobs::task_id> done;
+        std::map<jobs::task_id, std::int64_t> all_failures;
         std::set<jobs::task_id> done_noted;
         std::map<jobs::task_id, std::int64_t> done_seen; ///< when an owner noted it, lapse or not
     };
 
     using owner = std::shared_ptr<owner_model>;
 
+    static constexpr std::int64_t vm_processors = 6000;
+    static constexpr std::int64_t max_attempts = 3;
+
     /// Virtual milliseconds as a time of the steady clock.
     static common::steady_time steady(std::int64_t ms)
     {
@@ -99,6 +113,12 @@
     void hand_in_job();
     void cancel_some_job();
     void trouble_worker();
+    void crash_worker(worker_model& which);
+    void crash_soon(const std::string& worker, const jobs::task_id& task, std::int64_t run);
+    void change_capacity();
+    void restore_capacities();
+    [[nodiscard]] bool is_crashing(const jobs::task_id& task) const;
+    [[nodiscard]] std::int64_t counted_processors(const worker_model& which) const;
     void change_owner();
     void tick_owner(const owner& which);
     void tell_workers(const owner& which);
@@ -120,6 +140,9 @@
     void note_end(const scheduling::finished_run& row, bool lapsed);
     void check_start(const fakes::run_model& at, const jobs::task_id& task);
     void check_calm();
+    void check_crash_budget(const jobs::task_id& task);
+    void check_given_up(const std::string& job, jobs::job_state state);
+    [[nodiscard]] scheduling::job_progress progress_for_owner(const std::string& job) const;
     [[nodiscard]] worker_model& worker_of(const std::string& id);
     [[nodiscard]] bool reaches(const worker_model& which) const;
     [[nodiscard]] bool calm() const;
@@ -127,6 +150,7 @@
 
     fleet_world_options options;
     common::random_source random;
+    common::random_source crash_random; ///< of its own: the seeds of other trouble stay the same
     fleet_world_report report;
     std::int64_t now = 0;
     std::uint64_t sequence = 0;
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -56,11 +56,13 @@
     return report.violations == 0 ? 0 : 1;
 }
 
-int run_fleet(std::uint64_t seed, std::int64_t duration_ms)
+int run_fleet(std::uint64_t seed, std::int64_t duration_ms, bool crashes)
 {
     chervilslip::soak::fleet_world_options options;
     options.seed = seed;
     options.duration_ms = duration_ms;
+    options.crashing_tasks = crashes;
+    options.changing_capacity = crashes;
     const auto report = chervilslip::soak::fleet_world(options).run();
     std::uint64_t checks = 0;
     std::uint64_t violations = 0;
@@ -102,11 +104,14 @@
             "WORD", arguments);
         const TCLAP::SwitchArg fleet("", "fleet", "run jobs over successive owners of the fleet",
                                      arguments);
+        const TCLAP::SwitchArg crashes(
+            "", "crashes", "with --fleet: tasks crash their workers, and capacities change",
+            arguments);
         const TCLAP::ValueArg<std::int64_t> duration("", "duration", "milliseconds of trouble",
                                                      false, 60'000, "MS", arguments);
         arguments.parse(argc, argv);
         if (fleet.getValue()) {
-            return run_fleet(seed.getValue(), duration.getValue());
+            return run_fleet(seed.getValue(), duration.getValue(), crashes.getValue());
         }
         const auto fault = planted_faults().find(plant.getValue());
         if (fault == planted_faults().end()) {
--- a/src/soak/tests/fleet_world_tests.cpp
+++ b/src/soak/tests/fleet_world_tests.cpp
@@ -15,13 +15,24 @@
     return soak::fleet_world(options).run();
 }
 
-void assert_fires(fleet_fault fault, const std::string& check)
+soak::fleet_world_report run_with_crashes(std::uint64_t seed, fleet_fault fault)
+{
+    soak::fleet_world_options options;
+    options.seed = seed;
+    options.crashing_tasks = true;
+    options.changing_capacity = true;
+    options.fault = fault;
+    return soak::fleet_world(options).run();
+}
+
+template <typename Run = decltype(&run)>
+void assert_fires(fleet_fault fault, const std::string& check, Run run_world = &run)
 {
     // given a planted fault, and a few seeds to meet the moment in which it matters
     std::uint64_t violations = 0;
     for (std::uint64_t seed = 1; seed <= 10 && violations == 0; ++seed) {
         // when
-        const auto report = run(seed, fault);
+        const auto report = run_world(seed, fault);
         const auto found = report.violations.find(check);
         violations += found == report.violations.end() ? 0 : found->second;
     }
@@ -63,6 +74,38 @@
     }
 }
 
+Test(fleet_world, holds_with_crashing_tasks_and_changing_capacity, .timeout = 100)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        // given, when
+        const auto report = run_with_crashes(seed, fleet_fault::none);
+
+        // then
+        for (const std::string& line : report.first_violations) {
+            cr_log_error("seed %lu: %s", static_cast<unsigned long>(seed), line.c_str());
+        }
+        cr_assert(report.violations.empty());
+        for (const char* name : {"capacity", "innocent_not_given_up", "crashing_job_ends"}) {
+            cr_assert(report.checks.contains(name), "%s was not checked", name);
+        }
+    }
+}
+
+Test(fleet_world, forgotten_crashes_are_found)
+{
+    assert_fires(fleet_fault::forgotten_crashes, "crash_budget", &run_with_crashes);
+}
+
+Test(fleet_world, invented_crashes_are_found)
+{
+    assert_fires(fleet_fault::invented_crashes, "innocent_not_given_up", &run_with_crashes);
+}
+
+Test(fleet_world, unseen_shrinking_is_found)
+{
+    assert_fires(fleet_fault::unseen_shrinking, "capacity", &run_with_crashes);
+}
+
 Test(fleet_world, a_skipped_journal_is_found)
 {
     assert_fires(fleet_fault::skip_journal, "one_run");
