--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -58,7 +58,8 @@
 bool is_unconstrained(const placement_request& request)
 {
     return request.required_label.empty() && request.required_rack.empty() &&
-           request.max_per_vm == 0 && !request.retried && request.tickets == nullptr;
+           request.max_per_vm == 0 && !request.retried && !request.isolated_task &&
+           request.tickets == nullptr;
 }
 
 } // namespace
@@ -207,8 +208,9 @@
             continue;
         }
         const jobs::task_id task{job.spec.id, occurrence, step, static_cast<std::int64_t>(i)};
-        // A retried task has more constraints, so the other tasks of the step may still fit.
-        if (!this->place_task(job, task, now) && tasks[i].failures == 0) {
+        // A retried or suspected task has more constraints, so the others may still fit.
+        if (!this->place_task(job, task, now) && tasks[i].failures == 0 &&
+            this->suspicion_of(job, task) == 0) {
             return;
         }
     }
@@ -250,7 +252,11 @@
     request.spread_racks = step.long_running;
     request.retried = progress.failures > 0 && !step.long_running;
     request.tickets = tickets == nullptr ? nullptr : &tickets->tickets;
-    if (this->round->fits_nowhere(request.pool, request.size)) {
+    request.suspect = this->suspicion_of(job, task) > 0;
+    if (this->holds.contains(task)) {
+        request.isolated_task = task;
+    }
+    if (!request.isolated_task && this->round->fits_nowhere(request.pool, request.size)) {
         return nullptr;
     }
     const jobs::task_id first{task.job, task.occurrence, task.step, 0};
@@ -350,6 +356,9 @@
             return false;
         }
     }
+    if (!this->is_suspect_startable(job, task, tickets, now)) {
+        return false;
+    }
     worker_state* worker = this->choose_worker(job, task, {}, {}, now, tickets);
     if (worker == nullptr) {
         return false;
@@ -369,6 +378,11 @@
     teams::resources total;
     for (std::int64_t i = 0; i < spec.count; ++i) {
         total += size;
+        const jobs::task_id member{job.spec.id, occurrence, step, i};
+        if (this->unexplained_losses.count(member) > 0 &&
+            this->suspicion_of(job, member) >= max_certain_crashes) {
+            return false;
+        }
     }
     if (!this->is_within_team_limit(job.spec.team, total)) {
         return false;
@@ -429,6 +443,7 @@
     progress.state = task_progress::phase::open;
     progress.run = run;
     progress.worker = worker.entry.instance;
+    progress.survived = false;
     step_count& counts = job.counts.at(static_cast<std::size_t>(task.occurrence)).at(task.step);
     --counts.waiting;
     ++counts.open;
@@ -439,6 +454,9 @@
     this->open_runs[task] = planned;
     const teams::resources size = footprint(job.spec.steps.at(task.step));
     worker.runs.insert(task);
+    if (this->suspicion_of(job, task) > 0) {
+        worker.suspects.insert(task);
+    }
     worker.used += size;
     this->team_usage[job.spec.team] += size;
     this->lane_of(task.job).planned_starts[task.job].emplace_back(task, run);
@@ -449,8 +467,10 @@
 {
     active_job& job = this->jobs_by_id.at(task.job);
     worker_state* worker = this->find_worker(run.worker);
-    if (worker == nullptr || !is_usable(*worker, now) || !this->may_start(now)) {
-        this->mark_run_lost(task, "the worker or the owner may not start it any more");
+    // The capacity may have shrunk since the run was planned.
+    const bool fits = worker != nullptr && worker->entry.capacity.can_fit(worker->used);
+    if (!fits || !is_usable(*worker, now) || !this->may_start(now)) {
+        this->withdraw_start(job, task, now);
         return;
     }
     start_command command;
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -79,12 +79,17 @@
                 worker_state& worker = this->workers[task.worker.id];
                 this->workers_by_pool.reset();
                 if (worker.entry.instance.id.empty()) {
+                    worker.entry.instance = task.worker;
                     worker.listed = false;
                     worker.leases_end_by = now + this->options.inherited_lease;
+                } else if (task.worker.started_at_ms < worker.entry.instance.started_at_ms) {
+                    // The registry names the latest instance, and ends the runs of earlier ones.
+                    worker.entry.instance = task.worker;
                 }
-                // The worker may have restarted before the earlier owner stored what was lost.
-                worker.entry.instance = std::max(worker.entry.instance, task.worker);
                 worker.runs.insert(name);
+                if (task.crashes > 0) {
+                    worker.suspects.insert(name);
+                }
                 worker.used += footprint(job.spec.steps[s]);
             }
         }
@@ -92,6 +97,7 @@
     if (stored.cancelled || this->pending_cancels.erase(id) > 0) {
         this->cancel_job(id, now);
     }
+    this->give_up_if_crashing(job, now);
     if (jobs::is_final(job.progress.state)) {
         this->stop_all_runs(job, now);
         this->mark_dirty(job);
@@ -127,6 +133,11 @@
 {
     job.progress.state = state;
     job.progress.ended_ms = this->last_unix_ms;
+    for (auto held = this->holds.lower_bound({job.spec.id, 0, 0, 0});
+         held != this->holds.end() && held->first.job == job.spec.id;) {
+        const jobs::task_id task = (held++)->first;
+        this->release_hold(task);
+    }
     this->stop_all_runs(job, now);
     this->mark_dirty(job);
     switch (state) {
@@ -308,7 +319,9 @@
     if (worker != this->workers.end() && worker->second.runs.erase(task) > 0) {
         worker->second.used -= freed;
         worker->second.idle_since = this->last_now;
+        worker->second.suspects.erase(task);
     }
+    this->release_hold(task);
     if (run->second.phase == run_phase::planned) {
         this->forget_planned_start(task);
     }
@@ -358,6 +371,10 @@
         this->complete_if_done(job, now);
         return;
     }
+    if (cause == end_cause::done) {
+        progress.crashes = 0;
+        progress.certain_crashes = 0;
+    }
     if (cause == end_cause::failed) {
         ++progress.failures;
         ++this->totals.ends_failed;
@@ -412,6 +429,7 @@
     step_count& counts = job.counts.at(occurrence).at(task.step);
     progress.state = task_progress::phase::waiting;
     progress.worker = {};
+    progress.survived = false;
     --counts.open;
     ++counts.waiting;
     this->mark_dirty(job);
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "scheduling/messages.h"
@@ -37,6 +38,7 @@
     /// that has gone on since.
     std::int64_t clock_ms = 0;
     std::optional<common::steady_time> clock_read_at; ///< unset: no response yet
+    common::steady_time last_response_at;             ///< when the latest response was handled
     /// Unless a further command extends the leases, no run exists there after this time.
     common::steady_time leases_end_by;
 
@@ -46,6 +48,10 @@
 
     teams::resources used; ///< by all runs that may exist there
     std::set<jobs::task_id> runs;
+    std::set<jobs::task_id> suspects; ///< runs of tasks under which workers have crashed
+    /// The worker gets no other new task until this one has survived its start.
+    std::optional<jobs::task_id> isolated_task;
+    common::steady_time isolated_since;
 
     std::int64_t consecutive_failures = 0; ///< runs that ended `failed` since the last `done`
     common::steady_time last_success;
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -25,6 +25,9 @@
     lost_cancels,        ///< acknowledged cancellations are not stored
     held_up_orders,      ///< orders reach a later instance of their worker, however late they are
     stale_notifications, ///< owners use notifications however old they are
+    forgotten_crashes,   ///< a new owner is not told of earlier crashes
+    invented_crashes,    ///< a new owner is told of crashes that did not happen
+    unseen_shrinking,    ///< the owner is not told of shrunk capacities
 };
 
 /// What is run.
@@ -32,6 +35,8 @@
     std::uint64_t seed = 1;
     std::int64_t duration_ms = 60'000; ///< of trouble; a calm time follows
     int workers = 6;
+    bool crashing_tasks = false;    ///< some tasks crash each worker that starts them
+    bool changing_capacity = false; ///< workers' capacities shrink and grow
     fleet_fault fault = fleet_fault::none;
 
     friend bool operator==(const fleet_world_options&, const fleet_world_options&) = default;
@@ -65,6 +70,8 @@
         bool alive = true;
         std::int64_t listed_until = 0; ///< while it is not alive
         std::int64_t cut_until = 0;
+        std::int64_t earlier_processors = 0; ///< before the capacity shrank
+        std::int64_t shrunk_at = 0;
     };
 
     struct owner_model {
@@ -81,14 +88,21 @@
         jobs::job job;
         std::optional<std::int64_t> cancelled_at; ///< when its cancellation was acknowledged
         bool hopeless = false;
+        bool crashes = false; ///< its first task crashes its workers
+        std::map<jobs::task_id, std::int64_t> crash_count;
+        std::map<jobs::task_id, std::int64_t> starts_after_crashes;
         std::map<jobs::task_id, std::int64_t> failures; ///< that were acknowledged
         std::set<jobs::task_id> done;
+        std::map<jobs::task_id, std::int64_t> all_failures;
         std::set<jobs::task_id> done_noted;
         std::map<jobs::task_id, std::int64_t> done_seen; ///< when an owner noted it, lapse or not
     };
 
     using owner = std::shared_ptr<owner_model>;
 
+    static constexpr std::int64_t vm_processors = 6000;
+    static constexpr std::int64_t max_attempts = 3;
+
     /// Virtual milliseconds as a time of the steady clock.
     static common::steady_time steady(std::int64_t ms)
     {
@@ -105,6 +119,12 @@
     void cancel_job(const std::string& id);
     void check_gone(const std::string& id);
     void trouble_worker();
+    void crash_worker(worker_model& which);
+    void crash_soon(const std::string& worker, const jobs::task_id& task, std::int64_t run);
+    void change_capacity();
+    void restore_capacities();
+    [[nodiscard]] bool is_crashing(const jobs::task_id& task) const;
+    [[nodiscard]] std::int64_t counted_processors(const worker_model& which) const;
     void change_owner();
     void tick_owner(const owner& which);
     void notify(std::function<void(scheduling::scheduler&)> deliver);
@@ -128,6 +148,9 @@
     void note_end(const scheduling::finished_run& row, bool lapsed);
     void check_start(const fakes::run_model& at, const jobs::task_id& task);
     void check_calm();
+    void check_crash_budget(const jobs::task_id& task);
+    void check_given_up(const std::string& job, jobs::job_state state);
+    [[nodiscard]] scheduling::job_progress progress_for_owner(const std::string& job) const;
     [[nodiscard]] worker_model& worker_of(const std::string& id);
     [[nodiscard]] bool reaches(const worker_model& which) const;
     [[nodiscard]] bool is_dropped(const worker_model& at, const scheduling::worker_instance& meant,
@@ -137,6 +160,7 @@
 
     fleet_world_options options;
     common::random_source random;
+    common::random_source crash_random; ///< of its own: the seeds of other trouble stay the same
     fleet_world_report report;
     std::int64_t now = 0;
     std::uint64_t sequence = 0;
