--- a/src/fakes/run_model.cpp
+++ b/src/fakes/run_model.cpp
@@ -41,6 +41,11 @@
     this->lapsed_ends.clear();
 }
 
+void run_model::set_capacity(const teams::resources& capacity)
+{
+    this->told.capacity = capacity;
+}
+
 command_outcome run_model::admit(const scheduling::worker_instance& meant, std::int64_t token)
 {
     if (meant != this->told.instance) {
@@ -171,6 +176,15 @@
     return this->running;
 }
 
+teams::resources run_model::used() const
+{
+    teams::resources total;
+    for (const auto& [task, run] : this->running) {
+        total += run.size;
+    }
+    return total;
+}
+
 bool run_model::has_ends() const
 {
     return !this->ended.empty();
@@ -183,11 +197,9 @@
 
 bool run_model::fits(const teams::resources& size) const
 {
-    teams::resources used = size;
-    for (const auto& [task, run] : this->running) {
-        used += run.size;
-    }
-    return this->told.capacity.can_fit(used);
+    teams::resources wanted = this->used();
+    wanted += size;
+    return this->told.capacity.can_fit(wanted);
 }
 
 void run_model::extend(std::int64_t deadline_ms, std::int64_t now)
--- a/src/fakes/run_model.h
+++ b/src/fakes/run_model.h
@@ -55,6 +55,9 @@
     /// Begins another life, which knows nothing of the one before.
     void begin_life(const scheduling::worker_instance& instance, std::int64_t clock_offset_ms);
 
+    /// Changes what the worker has, whatever runs.
+    void set_capacity(const teams::resources& capacity);
+
     /// Renews leases up to `deadline_ms` and notes ends up to `acknowledged`.
     scheduling::command_outcome poll(const scheduling::worker_instance& meant, std::int64_t token,
                                      std::int64_t acknowledged,
@@ -79,6 +82,7 @@
 
     [[nodiscard]] std::int64_t clock(std::int64_t now) const;
     [[nodiscard]] const scheduling::worker_entry& entry() const;
+    [[nodiscard]] teams::resources used() const;
     [[nodiscard]] const std::map<jobs::task_id, run_request>& runs() const;
     [[nodiscard]] bool has_ends() const;
     [[nodiscard]] std::int64_t ends_so_far() const;
