--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -6,6 +6,7 @@
 
 #include "fleet/pool_planner.h"
 #include "scheduling/best_effort_throttle.h"
+#include "scheduling/crash_ledger.h"
 #include "scheduling/dispatch_round.h"
 #include "scheduling/duration_estimator.h"
 #include "scheduling/journal_lane.h"
@@ -137,6 +138,10 @@
     /// Returns the demand per pool, without tasks beyond their team's quota.
     [[nodiscard]] std::map<std::string, fleet::pool_demand> demand() const;
 
+    /// Returns how many tasks could be started as far as their job is concerned, without those of
+    /// long-running jobs.
+    [[nodiscard]] std::int64_t startable_tasks() const;
+
     /// Returns how many runs of long-running tasks may exist on a worker.
     [[nodiscard]] std::int64_t lasting_runs(const std::string& worker) const;
 
@@ -162,6 +167,7 @@
         std::int64_t percent = 0;
         std::int64_t load = 0;
         bool redundant = false; ///< an earlier run of the task has completed after all
+        bool inherited = false; ///< an earlier owner started it, at a time that is not known
     };
 
     struct step_count {
@@ -183,6 +189,7 @@
         std::int64_t lost = 0;
         std::int64_t refused = 0;               ///< starts that workers rejected
         std::optional<std::int64_t> started_ms; ///< Unix time of the first start
+        std::string failure;                    ///< why it failed; empty: attempts exhausted
     };
 
     struct active_job {
@@ -254,12 +261,36 @@
                            common::steady_time now);
     void reconcile_missing(worker_state& worker, const poll_result& answer);
     void throttle_best_effort_runs(worker_state& worker, common::steady_time now);
-    void mark_runs_lost(worker_state& worker, std::string_view why);
+    [[nodiscard]] std::set<jobs::task_id> runs_on(const worker_instance& instance,
+                                                  const worker_state& worker) const;
+    void add_run_to(worker_state& worker, const jobs::task_id& task) const;
+    void mark_runs_lost(worker_state& worker, worker_loss how, std::string_view why,
+                        common::steady_time now);
     void expire_workers(common::steady_time now);
+    void withdraw_start(const active_job& job, const jobs::task_id& task, common::steady_time now);
     void request_stop(const jobs::task_id& task, open_run& run, common::steady_time now);
     [[nodiscard]] std::int64_t deadline_for(const worker_state& worker, common::steady_time now,
                                             common::milliseconds time) const;
 
+    // scheduler_crashes.cpp: tasks that crash their workers
+    [[nodiscard]] bool is_starting(const worker_state& worker, const jobs::task_id& task) const;
+    [[nodiscard]] std::vector<lost_start> starting_runs(const worker_state& worker) const;
+    [[nodiscard]] std::int64_t suspicion_of(const active_job& job, const jobs::task_id& task) const;
+    void count_crash(const lost_start& lost, common::steady_time now);
+    void give_up_if_crashing(active_job& job, common::steady_time now);
+    void note_unexplained(const std::vector<lost_start>& starts, std::int64_t change);
+    void clear_if_survived(worker_state& worker, active_job& job, const jobs::task_id& task);
+    bool is_suspect_startable(const active_job& job, const jobs::task_id& task,
+                              const ticket_cache* tickets, common::steady_time now);
+    bool hold_worker(const active_job& job, const jobs::task_id& task, const ticket_cache* tickets,
+                     common::steady_time now);
+    worker_state* choose_worker_to_hold(const active_job& job, const jobs::task_id& task,
+                                        const ticket_cache* tickets);
+    [[nodiscard]] bool is_quiet(const worker_state& worker, common::steady_time now) const;
+    worker_state* held_worker(const jobs::task_id& task);
+    void release_hold(const jobs::task_id& task);
+    void release_expired_holds(common::steady_time now);
+
     // scheduler_dispatch.cpp: dispatch and placement
     void dispatch_if_due(common::steady_time now, common::steady_time earliest);
     void dispatch(common::steady_time now, std::int64_t unix_ms);
@@ -321,6 +352,8 @@
     std::int64_t last_unix_ms = 0;
     duration_estimator durations;
     best_effort_throttle throttle;
+    crash_ledger unexplained_losses;
+    std::map<jobs::task_id, std::string> holds; ///< worker that is held for a task's isolated start
     scheduler_counters totals;
     bool dispatch_due = true;
     common::steady_time next_scan; ///< of all workers
--- /dev/null
+++ b/src/scheduling/scheduler_crashes.cpp
@@ -0,0 +1,275 @@
+// Tasks that crash the workers that start them.
+#include <algorithm>
+#include <limits>
+
+#include "scheduling/placement.h"
+#include "scheduling/scheduler.h"
+
+namespace chervilslip::scheduling {
+
+namespace {
+
+/// A held worker that still runs tasks after this time is used as soon as none of them is starting:
+/// long-running tasks would block an isolated start forever.
+constexpr common::milliseconds isolation_patience{1500};
+
+/// Another worker is held if the task has not been started within this time.
+constexpr common::milliseconds max_hold_time{5000};
+
+/// Of the usable workers of a pool, one in this many may be held, and always one.
+constexpr std::size_t workers_per_hold = 3;
+
+/// Starts that were sent within this time may arrive in any order.
+constexpr common::milliseconds start_order_margin{100};
+
+} // namespace
+
+bool scheduler::is_starting(const worker_state& worker, const jobs::task_id& task) const
+{
+    const open_run& run = this->open_runs.at(task);
+    const task_progress& progress =
+        this->jobs_by_id.at(task.job)
+            .progress.tasks.at(static_cast<std::size_t>(task.occurrence))
+            .at(task.step)
+            .at(static_cast<std::size_t>(task.index));
+    const bool survived =
+        progress.survived || (run.phase == run_phase::running &&
+                              worker.last_response_at - run.confirmed_at >= start_survival_time);
+    return run.phase != run_phase::planned && !survived;
+}
+
+std::vector<lost_start> scheduler::starting_runs(const worker_state& worker) const
+{
+    const auto is_unanswered = [this](const jobs::task_id& task) {
+        const run_phase phase = this->open_runs.at(task).phase;
+        return phase == run_phase::sent || phase == run_phase::unanswered;
+    };
+    std::int64_t first_deadline = std::numeric_limits<std::int64_t>::max();
+    for (const jobs::task_id& task : worker.runs) {
+        if (is_unanswered(task)) {
+            first_deadline = std::min(first_deadline, this->open_runs.at(task).start_deadline_ms);
+        }
+    }
+    std::vector<lost_start> starting;
+    for (const jobs::task_id& task : worker.runs) {
+        // A worker answers in the order of arrival, so it was lost at its first unanswered start,
+        // or before.
+        const bool was_gone =
+            is_unanswered(task) && this->open_runs.at(task).start_deadline_ms >
+                                       first_deadline + start_order_margin.count();
+        if (!was_gone && this->is_starting(worker, task)) {
+            // An inherited run may have survived its start under an earlier owner.
+            const open_run& run = this->open_runs.at(task);
+            starting.push_back({task, run.phase == run_phase::running && !run.inherited});
+        }
+    }
+    return starting;
+}
+
+std::int64_t scheduler::suspicion_of(const active_job& job, const jobs::task_id& task) const
+{
+    return job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
+               .at(task.step)
+               .at(static_cast<std::size_t>(task.index))
+               .crashes +
+           this->unexplained_losses.count(task);
+}
+
+void scheduler::count_crash(const lost_start& lost, common::steady_time now)
+{
+    const jobs::task_id& task = lost.task;
+    active_job* job = this->find_job(task.job);
+    if (job == nullptr || jobs::is_final(job->progress.state)) {
+        return;
+    }
+    task_progress& progress = job->progress.tasks.at(static_cast<std::size_t>(task.occurrence))
+                                  .at(task.step)
+                                  .at(static_cast<std::size_t>(task.index));
+    if (progress.state == task_progress::phase::done) {
+        return;
+    }
+    ++progress.crashes;
+    progress.certain_crashes += lost.begun ? 1 : 0;
+    const auto run = this->open_runs.find(task);
+    if (run != this->open_runs.end()) {
+        this->workers.at(run->second.worker.id).suspects.insert(task);
+    }
+    this->mark_dirty(*job);
+    const std::string count = std::to_string(progress.crashes);
+    this->record(decision_record::kind::task_lost, task.to_string(),
+                 "its worker crashed while starting it, crash " + count);
+    this->give_up_if_crashing(*job, now);
+}
+
+void scheduler::give_up_if_crashing(active_job& job, common::steady_time now)
+{
+    for (std::size_t k = 0; k < job.progress.tasks.size(); ++k) {
+        for (std::size_t s = 0; s < job.progress.tasks[k].size(); ++s) {
+            for (std::size_t i = 0; i < job.progress.tasks[k][s].size(); ++i) {
+                const task_progress& task = job.progress.tasks[k][s][i];
+                // A start that was not answered may not have reached the worker before it crashed.
+                const bool crashes =
+                    task.certain_crashes >= max_certain_crashes || task.crashes >= max_crashes;
+                if (!crashes || jobs::is_final(job.progress.state)) {
+                    continue;
+                }
+                const jobs::task_id name{job.spec.id, static_cast<std::int64_t>(k), s,
+                                         static_cast<std::int64_t>(i)};
+                job.history.failure = std::to_string(task.crashes) +
+                                      " workers crashed while starting task " + name.to_string();
+                this->finish_job(job, jobs::job_state::failed, now);
+            }
+        }
+    }
+}
+
+void scheduler::note_unexplained(const std::vector<lost_start>& starts, std::int64_t change)
+{
+    for (const lost_start& each : starts) {
+        active_job* job = this->find_job(each.task.job);
+        if (job == nullptr) {
+            continue;
+        }
+        task_progress& progress =
+            job->progress.tasks.at(static_cast<std::size_t>(each.task.occurrence))
+                .at(each.task.step)
+                .at(static_cast<std::size_t>(each.task.index));
+        progress.unexplained_losses =
+            std::max<std::int64_t>(progress.unexplained_losses + change, 0);
+    }
+}
+
+void scheduler::clear_if_survived(worker_state& worker, active_job& job, const jobs::task_id& task)
+{
+    task_progress& progress = job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
+                                  .at(task.step)
+                                  .at(static_cast<std::size_t>(task.index));
+    const bool is_suspect = worker.suspects.contains(task);
+    const bool is_noted = progress.survived || !job.spec.steps.at(task.step).long_running;
+    if ((!is_suspect && is_noted) || this->is_starting(worker, task) ||
+        progress.state != task_progress::phase::open) {
+        return;
+    }
+    worker.suspects.erase(task);
+    this->release_hold(task);
+    progress.crashes = 0;
+    progress.certain_crashes = 0;
+    // The next owner does not know how long a task has run.
+    progress.survived = job.spec.steps.at(task.step).long_running;
+    this->mark_dirty(job);
+}
+
+bool scheduler::is_suspect_startable(const active_job& job, const jobs::task_id& task,
+                                     const ticket_cache* tickets, common::steady_time now)
+{
+    const std::int64_t suspicion = this->suspicion_of(job, task);
+    if (this->unexplained_losses.count(task) > 0 && suspicion >= max_certain_crashes) {
+        return false; // waits until it is known whether its workers have crashed
+    }
+    return suspicion < isolation_crashes || this->hold_worker(job, task, tickets, now);
+}
+
+bool scheduler::hold_worker(const active_job& job, const jobs::task_id& task,
+                            const ticket_cache* tickets, common::steady_time now)
+{
+    worker_state* worker = this->held_worker(task);
+    if (worker != nullptr &&
+        (!is_usable(*worker, now) || worker->entry.pool != this->policy_of(job).pool ||
+         now >= worker->isolated_since + max_hold_time)) {
+        this->release_hold(task);
+        worker = nullptr;
+    }
+    if (worker == nullptr) {
+        worker = this->choose_worker_to_hold(job, task, tickets);
+        if (worker == nullptr) {
+            return false;
+        }
+        worker->isolated_task = task;
+        worker->isolated_since = now;
+        this->holds[task] = worker->entry.instance.id;
+    }
+    return this->is_quiet(*worker, now);
+}
+
+worker_state* scheduler::choose_worker_to_hold(const active_job& job, const jobs::task_id& task,
+                                               const ticket_cache* tickets)
+{
+    const jobs::step& step = job.spec.steps.at(task.step);
+    const auto& usable = this->round->usable_in(this->policy_of(job).pool);
+    const auto held = std::count_if(usable.begin(), usable.end(), [](const worker_state* each) {
+        return each->isolated_task.has_value();
+    });
+    if (static_cast<std::size_t>(held) >=
+        std::max<std::size_t>(usable.size() / workers_per_hold, 1)) {
+        return nullptr;
+    }
+    worker_state* best = nullptr;
+    for (worker_state* each : usable) {
+        const worker_entry& entry = each->entry;
+        const bool allowed = !each->isolated_task &&
+                             (step.required_label.empty() || entry.kind == step.required_label ||
+                              entry.rack == step.required_label) &&
+                             (tickets == nullptr || tickets->tickets.contains(entry.instance.id));
+        if (!allowed || (best != nullptr && best->runs.size() <= each->runs.size())) {
+            continue;
+        }
+        teams::resources available = entry.capacity; // once the other tasks have ended
+        for (const jobs::task_id& other : each->runs) {
+            const jobs::step& other_step = this->jobs_by_id.at(other.job).spec.steps.at(other.step);
+            if (other_step.long_running) {
+                available -= footprint(other_step);
+            }
+        }
+        if (available.can_fit(footprint(step))) {
+            best = each;
+        }
+    }
+    return best;
+}
+
+bool scheduler::is_quiet(const worker_state& worker, common::steady_time now) const
+{
+    return worker.runs.empty() ||
+           (now >= worker.isolated_since + isolation_patience &&
+            std::none_of(worker.runs.begin(), worker.runs.end(), [&](const jobs::task_id& each) {
+                return this->open_runs.at(each).phase == run_phase::planned ||
+                       this->is_starting(worker, each);
+            }));
+}
+
+worker_state* scheduler::held_worker(const jobs::task_id& task)
+{
+    const auto held = this->holds.find(task);
+    if (held == this->holds.end()) {
+        return nullptr;
+    }
+    const auto worker = this->workers.find(held->second);
+    const bool is_held = worker != this->workers.end() && worker->second.isolated_task == task;
+    return is_held ? &worker->second : nullptr;
+}
+
+void scheduler::release_hold(const jobs::task_id& task)
+{
+    if (worker_state* worker = this->held_worker(task)) {
+        worker->isolated_task.reset();
+        this->dispatch_due = true;
+    }
+    this->holds.erase(task);
+}
+
+void scheduler::release_expired_holds(common::steady_time now)
+{
+    std::vector<jobs::task_id> expired;
+    for (const auto& [task, id] : this->holds) {
+        const worker_state* worker = this->held_worker(task);
+        if (worker == nullptr ||
+            (now >= worker->isolated_since + max_hold_time && !worker->runs.contains(task))) {
+            expired.push_back(task);
+        }
+    }
+    for (const jobs::task_id& task : expired) {
+        this->release_hold(task);
+    }
+}
+
+} // namespace chervilslip::scheduling
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -73,18 +73,24 @@
                 run.worker = task.worker;
                 run.run = task.run;
                 run.phase = run_phase::inherited;
+                run.inherited = true;
                 run.planned_at = now;
                 this->open_runs[name] = run;
                 this->team_usage[job.spec.team] += footprint(job.spec.steps[s]);
                 worker_state& worker = this->workers[task.worker.id];
                 this->workers_by_pool.reset();
                 if (worker.entry.instance.id.empty()) {
+                    worker.entry.instance = task.worker;
                     worker.listed = false;
                     worker.leases_end_by = now + this->options.inherited_lease;
+                } else if (task.worker.started_at_ms < worker.entry.instance.started_at_ms) {
+                    // The registry names the latest instance, and ends the runs of earlier ones.
+                    worker.entry.instance = task.worker;
                 }
-                // The worker may have restarted before the earlier owner stored what was lost.
-                worker.entry.instance = std::max(worker.entry.instance, task.worker);
                 worker.runs.insert(name);
+                if (task.crashes > 0) {
+                    worker.suspects.insert(name);
+                }
                 worker.used += footprint(job.spec.steps[s]);
             }
         }
@@ -92,6 +98,7 @@
     if (stored.cancelled || this->pending_cancels.erase(id) > 0) {
         this->cancel_job(id, now);
     }
+    this->give_up_if_crashing(job, now);
     if (jobs::is_final(job.progress.state)) {
         this->stop_all_runs(job, now);
         this->mark_dirty(job);
@@ -127,6 +134,11 @@
 {
     job.progress.state = state;
     job.progress.ended_ms = this->last_unix_ms;
+    for (auto held = this->holds.lower_bound({job.spec.id, 0, 0, 0});
+         held != this->holds.end() && held->first.job == job.spec.id;) {
+        const jobs::task_id task = (held++)->first;
+        this->release_hold(task);
+    }
     this->stop_all_runs(job, now);
     this->mark_dirty(job);
     switch (state) {
@@ -308,7 +320,9 @@
     if (worker != this->workers.end() && worker->second.runs.erase(task) > 0) {
         worker->second.used -= freed;
         worker->second.idle_since = this->last_now;
+        worker->second.suspects.erase(task);
     }
+    this->release_hold(task);
     if (run->second.phase == run_phase::planned) {
         this->forget_planned_start(task);
     }
@@ -358,6 +372,10 @@
         this->complete_if_done(job, now);
         return;
     }
+    if (cause == end_cause::done) {
+        progress.crashes = 0;
+        progress.certain_crashes = 0;
+    }
     if (cause == end_cause::failed) {
         ++progress.failures;
         ++this->totals.ends_failed;
@@ -412,6 +430,7 @@
     step_count& counts = job.counts.at(occurrence).at(task.step);
     progress.state = task_progress::phase::waiting;
     progress.worker = {};
+    progress.survived = false;
     --counts.open;
     ++counts.waiting;
     this->mark_dirty(job);
@@ -466,6 +485,27 @@
            (used == this->team_usage.end() ? 0 : used->second.processors);
 }
 
+std::int64_t scheduler::startable_tasks() const
+{
+    std::int64_t tasks = 0;
+    for (const auto& [id, job] : this->jobs_by_id) {
+        if (jobs::is_final(job.progress.state) || job.spec.is_long_running()) {
+            continue;
+        }
+        for (std::size_t k = 0; k < job.counts.size(); ++k) {
+            if (job.spec.due_ms(static_cast<std::int64_t>(k)) > this->last_unix_ms) {
+                continue;
+            }
+            for (std::size_t s = 0; s < job.counts[k].size(); ++s) {
+                if (this->is_step_ready(job, static_cast<std::int64_t>(k), s)) {
+                    tasks += job.counts[k][s].waiting;
+                }
+            }
+        }
+    }
+    return tasks;
+}
+
 std::map<std::string, fleet::pool_demand> scheduler::demand() const
 {
     std::map<std::string, fleet::pool_demand> pools;
