--- a/src/fakes/run_model.cpp
+++ b/src/fakes/run_model.cpp
@@ -144,11 +144,6 @@
     }
 }
 
-void run_model::set_capacity(const teams::resources& capacity)
-{
-    this->told.capacity = capacity;
-}
-
 void run_model::crash()
 {
     this->running.clear();
--- a/src/fakes/run_model.h
+++ b/src/fakes/run_model.h
@@ -75,9 +75,6 @@
     /// Ends what is over, or whose lease has run out.
     void settle(std::int64_t now);
 
-    /// Changes the capacity that the worker reports.
-    void set_capacity(const teams::resources& capacity);
-
     /// Forgets all runs, as at a crash.
     void crash();
 
