Publish the share again when the fate of a publication is unknown

Found by review: a publication whose response was lost may have been stored, while the owner falls back to the share before. Once calm, the difference is below what counts as notable, and a tenth of the jobs would be refused until the next overload.

Change: after a failed publication the next interval publishes whatever the share is.

Conclusion: nodes are back at a full share an interval after the store is.

--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -152,9 +152,11 @@
     }
     const double change = std::abs(this->current_share - this->published_share);
     const bool is_full_again = this->current_share >= 1.0 && this->published_share < 1.0;
-    if (!is_full_again && change < this->options.notable_change * this->published_share) {
+    const bool is_notable = change >= this->options.notable_change * this->published_share;
+    if (!this->stored_share_unknown && !is_full_again && !is_notable) {
         return std::nullopt;
     }
+    this->stored_share_unknown = false;
     this->earlier_published_share = std::exchange(this->published_share, this->current_share);
     return this->published_share;
 }
@@ -162,6 +164,7 @@
 void admission_controller::on_publication_failed()
 {
     this->published_share = this->earlier_published_share;
+    this->stored_share_unknown = true;
 }
 
 double admission_controller::share() const
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -83,7 +83,7 @@
     /// Returns the share to publish when it has changed notably since the last publication.
     [[nodiscard]] std::optional<double> take_publication();
 
-    /// Records that a share which `take_publication` returned has not been stored.
+    /// Records that a share which `take_publication` returned may not have been stored.
     void on_publication_failed();
 
     /// Returns the share of new jobs that the owner can handle, in (0, 1].
@@ -113,6 +113,7 @@
     double published_share = 1.0;
     double earlier_published_share = 1.0;
     bool may_publish = false;
+    bool stored_share_unknown = false; ///< a publication failed, or only its response was lost
 };
 
 } // namespace chervilslip::admission
--- a/src/admission/tests/admission_controller_tests.cpp
+++ b/src/admission/tests/admission_controller_tests.cpp
@@ -379,4 +379,28 @@
     cr_assert(controller.take_publication().has_value());
 }
 
+Test(admission_controller, a_share_of_unknown_fate_is_published_again_after_the_overload)
+{
+    // given a publication that is still under way when the owner has recovered
+    admission_controller controller(at_us(0));
+    for (int i = 1; i <= 2; ++i) {
+        for (int k = 0; k < 100; ++k) {
+            controller.on_command_completed(milliseconds(500));
+        }
+        controller.tick(at_us(i * 250 * us_per_ms));
+    }
+    cr_assert(controller.take_publication().has_value());
+    for (int i = 3; i <= 100; ++i) {
+        controller.tick(at_us(i * 250 * us_per_ms));
+    }
+    cr_assert(controller.share() == 1.0);
+
+    // when its response is lost
+    controller.on_publication_failed();
+    controller.tick(at_us(101 * 250 * us_per_ms));
+
+    // then
+    cr_assert(controller.take_publication() == 1.0);
+}
+
 } // namespace
