Stop carrying out actions when one of them has ended the claim

Found by review: a command that a relay or the advice service completes at once runs its handler within execute_actions; if the outcome is a newer owner's token, the scheduler is gone when the loop goes on, a null dereference.

--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -104,6 +104,9 @@
     }
     for (scheduling::action& each : this->scheduler->take_actions()) {
         this->execute(std::move(each));
+        if (!this->scheduler) {
+            return; // a command was completed at once, and its outcome ended the claim
+        }
     }
     if (this->scheduler->is_fenced()) {
         this->abandon("a worker has received a newer owner's token");
