Arm the next tick before the work of this one again

Found by review: the measurement of the lag and the admission control, which were added before it, ran first. An error in them would have ended this node's ticks for good, so it would neither act nor compete for the claim again.

Change: the tick is armed first; its due time is passed on.

--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -151,9 +151,9 @@
     return std::exchange(this->max_lag, {});
 }
 
-void scheduler_host::observe_lag()
+void scheduler_host::observe_lag(common::steady_time due)
 {
-    const auto lag = std::chrono::duration_cast<common::milliseconds>(this->now() - this->tick_due);
+    const auto lag = std::chrono::duration_cast<common::milliseconds>(this->now() - due);
     this->max_lag = std::max(this->max_lag, lag);
     const auto earlier_window = this->gathering.length();
     this->gathering.observe(lag);
@@ -181,11 +181,12 @@
     this->timer.expires_after(interval);
     this->timer.async_wait([this](const boost::system::error_code& failure) {
         if (!failure && !this->stopped) {
+            const common::steady_time due = this->tick_due;
+            this->schedule_tick(); // first, so that an error in a tick does not end the ticks
             if (this->scheduler) {
-                this->observe_lag();
-                this->control_admission();
+                this->observe_lag(due);
+                this->control_admission(due);
             }
-            this->schedule_tick(); // first, so that an error in a tick does not end the ticks
             this->tick();
         }
     });
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -138,13 +138,13 @@
     void delete_closed_jobs(std::vector<std::string> keys);
 
     void observe_admission(const store::item_map& items, std::int64_t revision);
-    void control_admission();
+    void control_admission(common::steady_time due);
     void note_job(const jobs::job& received);
     void publish_share(double share);
     void send_start(const scheduling::start_command& command);
 
     void react();
-    void observe_lag();
+    void observe_lag(common::steady_time due);
     void execute_actions();
     void execute(scheduling::action&& what);
     void write_journal(scheduling::journal_write&& order);
--- a/src/daemon/scheduler_host_admission.cpp
+++ b/src/daemon/scheduler_host_admission.cpp
@@ -49,10 +49,10 @@
     this->admission_control->on_job(tasks);
 }
 
-void scheduler_host::control_admission()
+void scheduler_host::control_admission(common::steady_time due)
 {
     this->admission_control->on_timer(
-        std::chrono::duration_cast<common::milliseconds>(this->now() - this->tick_due));
+        std::chrono::duration_cast<common::milliseconds>(this->now() - due));
     if (this->admission_control->is_due(this->now())) {
         this->admission_control->on_backlog(this->scheduler->startable_tasks());
     }
