Extend the owner's authority when its renewal has been read

Found by review: renewals are sent from reactions to events too, but the scheduler's authority was extended in ticks alone. With ticks over 1.4 s late it would withdraw planned starts although the lease had been renewed.

Change: a reaction extends the authority while the claim is the one that it was made for.

--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -221,6 +221,9 @@
     // Not only in ticks: these are late when the owner is, and the claim would expire.
     this->ownership_claim.tick(this->now());
     this->run_claim_actions();
+    if (this->ownership_claim.token() == this->token) {
+        this->scheduler->extend_authority(this->ownership_claim.authority_until());
+    }
     this->scheduler->react(this->now(), this->unix_ms());
     this->execute_actions();
 }
