--- a/review/lib/workers.py
+++ b/review/lib/workers.py
@@ -224,13 +224,14 @@
             self.breaks(f"TWICE: run {run.number} of {run.task} starts on {worker.machine} after "
                         "an end `done` was taken note of")
         elif run.task in self.done:
-            self.later.append((run.task, run.number, worker.machine))
+            self.later.append((run.task, run.number, worker.machine, time.monotonic()))
 
     def end(self, worker, run, how):
         self.gone(worker, run)
         self.note("end", task=run.task, run=run.number, machine=worker.machine, how=how)
         if how == "done":
             self.done.setdefault(run.task, time.monotonic())
+            self.done_ends[run.task, run.number] = time.monotonic()
         if how == "failed":
             self.failed[run.task] = self.failed.get(run.task, 0) + 1
 
@@ -243,7 +244,8 @@
         if how != "done":
             return
         self.done_noted.add(task)
-        for each in [one for one in self.later if one[0] == task]:
+        ended = self.done_ends[task, run]
+        for each in [one for one in self.later if one[0] == task and one[3] > ended]:
             self.later.remove(each)
             self.breaks(f"TWICE: run {each[1]} of {task} started on {each[2]} after run {run} had "
                         "ended `done`, an end that was taken note of later")
