--- a/review/lib/workers.py
+++ b/review/lib/workers.py
@@ -194,6 +194,7 @@
         run = self.running.get(task)
         if run and run.number == number and run.how != "stopped":
             run.ends, run.how = time.monotonic() + STOP_S, "stopped"
+            self.fleet.truth.stop(self, run)
         return 200, {"clockMs": self.clock()}
 
 
@@ -208,7 +209,7 @@
         self.done_noted = set()
         self.done_ends = {}  # (task, run): time
         self.later = []     # starts after an end `done` that was not noted by then
-        self.failed = {}
+        self.stops = []     # (task, machine): orders to stop a run at work
         self.broken = []
 
     def start(self, worker, run, token):
@@ -232,8 +233,10 @@
         if how == "done":
             self.done.setdefault(run.task, time.monotonic())
             self.done_ends[run.task, run.number] = time.monotonic()
-        if how == "failed":
-            self.failed[run.task] = self.failed.get(run.task, 0) + 1
+
+    def stop(self, worker, run):
+        self.note("stop", task=run.task, run=run.number, machine=worker.machine)
+        self.stops.append((run.task, worker.machine))
 
     def gone(self, worker, run):
         here = (worker.machine, worker.life, run.number)
