--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -200,8 +200,8 @@
         status, value = await web.call(
             self.address(node, FRONT_PORT), method, PREFIX + job, body,
             {"Host": HOST, "Authorization": f"Bearer {KEY}"}, seconds)
-        self.note("client", method=method, job=job, node=self.nodes[node], status=status,
-                  answer=value)
+        self.note("client", method=method, job=job, sent=body, node=self.nodes[node],
+                  status=status, answer=value)
         return status, value
 
     async def submit(self, job, steps, tries=5, **fields):
