--- a/review/2/run.py
+++ b/review/2/run.py
@@ -10,7 +10,7 @@
 from system import FINISH_S, play, step  # noqa: E402
 
 WORKERS = 5
-JOBS, ONE_HOPELESS_IN = 100, 20  # a share of 0.05
+JOBS, ONE_HOPELESS_IN = 170, 34  # a share of 0.029
 PAUSE_S = 0.3
 LASTING = "00000000000000b0"
 
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -12,6 +12,7 @@
 
 JOBS, TASKS, WORK_S = 14, 50, 8.0
 SUBMIT_PAUSE_S = 0.1
+DOWN_S = 3.0
 
 
 async def scene(system):
@@ -25,7 +26,11 @@
     if sum(truth.starts.values()) != JOBS * TASKS:
         raise RuntimeError("not all tasks were at work")
     if system.trouble:
-        system.signal(system.owner(), signal.SIGKILL)
+        owner = system.owner()
+        system.signal(owner, signal.SIGKILL)
+        await asyncio.sleep(DOWN_S)
+        system.processes[system.nodes[owner]].wait()
+        system.start_node(owner)
     broken = []
     for each in jobs:
         state = await system.await_state(each, ("completed", "failed"), 20)
