--- a/src/daemon/fleet_metrics.cpp
+++ b/src/daemon/fleet_metrics.cpp
@@ -116,6 +116,8 @@
     this->node.Add({{"value", "decides"}}).Set(current.active_scheduler == nullptr ? 0 : 1);
     this->node.Add({{"value", "configuration_version"}})
         .Set(static_cast<double>(current.configuration_version));
+    this->node.Add({{"value", "configuration_age_seconds"}})
+        .Set(seconds(current.configuration_age));
     this->node.Add({{"value", "store_contact_age_seconds"}})
         .Set(seconds(current.store_contact_age));
     this->node.Add({{"value", "owner_lag_seconds"}}).Set(seconds(current.owner_lag));
--- a/src/daemon/fleet_metrics.h
+++ b/src/daemon/fleet_metrics.h
@@ -28,6 +28,8 @@
     struct state {
         bool ready = false;
         std::int64_t configuration_version = 0;
+        /// Since the version in force was known to be the newest one.
+        common::milliseconds configuration_age{0};
         common::milliseconds store_contact_age{0};
         common::milliseconds owner_lag{0}; ///< of its timer, at most since the last reading
         double admission_share = 1.0;      ///< that this node applies to new jobs
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -119,6 +119,8 @@
     current.ready = this->is_ready();
     current.configuration_version =
         this->active_configuration ? this->active_configuration->version : 0;
+    current.configuration_age =
+        this->active_configuration ? this->configuration_age() : common::milliseconds{0};
     current.store_contact_age = std::chrono::duration_cast<common::milliseconds>(
         this->dependencies.clock.steady_now() - this->last_store_contact);
     current.active_scheduler = this->owner_host.active_scheduler();
@@ -160,6 +162,17 @@
     this->last_store_contact = this->dependencies.clock.steady_now();
 }
 
+void fleet_node::confirm_configuration(common::steady_time as_of)
+{
+    this->configuration_confirmed_as_of = std::max(this->configuration_confirmed_as_of, as_of);
+}
+
+common::milliseconds fleet_node::configuration_age() const
+{
+    return std::chrono::duration_cast<common::milliseconds>(
+        this->dependencies.clock.steady_now() - this->configuration_confirmed_as_of);
+}
+
 bool fleet_node::is_ready() const
 {
     return !this->stopping && this->active_configuration && this->store_contacted &&
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -65,6 +65,13 @@
     /// Records that the store has responded, directly or via a peer.
     void note_store_contact();
 
+    /// Records that the configuration in force was the operators' newest one at `as_of`.
+    void confirm_configuration(common::steady_time as_of);
+
+    /// Returns how long ago the configuration in force was known to be the operators' newest one.
+    /// Precondition: a configuration is in force.
+    [[nodiscard]] common::milliseconds configuration_age() const;
+
     /// Returns whether clients should be routed to this node.
     [[nodiscard]] bool is_ready() const;
 
@@ -101,6 +108,7 @@
     scheduler_host owner_host;
     job_frontend client_frontend;
     std::shared_ptr<const fleet_configuration> active_configuration;
+    common::steady_time configuration_confirmed_as_of;
     common::steady_time last_store_contact;
     bool store_contacted = false;
     bool stopping = false;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -188,7 +188,7 @@
                          [self = this->shared_from_this()](const boost::system::error_code& failure,
                                                            std::size_t) {
                              if (failure) {
-                                 self->fail("receive answer", failure);
+                                 self->fail("receive answer", failure, self->received_part());
                                  return;
                              }
                              self->deliver();
@@ -204,14 +204,26 @@
         this->finish(from_beast(std::move(received)));
     }
 
-    void fail(std::string step, const boost::system::error_code& failure)
+    /// Tells a response that is too slow from none at all.
+    [[nodiscard]] std::string received_part() const
+    {
+        if (!this->parser.is_header_done()) {
+            return {};
+        }
+        const auto whole = this->parser.content_length();
+        return " after " + std::to_string(this->parser.get().body().size()) + " of " +
+               (whole ? std::to_string(*whole) : "?") + " bytes";
+    }
+
+    void fail(std::string step, const boost::system::error_code& failure,
+              const std::string& progress = {})
     {
         if (failure == beast::error::timeout) {
             // Other idle connections to a silent peer may be just as silent.
             this->connections->idle.erase(this->peer);
         }
         this->finish(make_error(cause_of(failure), std::move(step), this->peer.to_string(),
-                                failure.message()));
+                                failure.message() + progress));
     }
 
     void finish_later(error cause)
