Read the items again after a failed watch instead of its history

Cause: after a failed watch the follower watched on from its last revision. The store then answers with every version since, each in full. store_watch_lost of front-muc-b-11 shows ten failures in a row from revision 5526, and store_lost 573364 of 1412967 bytes at the time limit; each retry asked for the same and more. Only the end of the history (410 after 20 s) ended it. Change: after a failed watch all items are read again; their size doesn't grow with the outage. A watch that the store refused (429, 503) is resumed once. All users of the follower (workers' entries, jobs, the claim) change with it.

--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -169,8 +169,8 @@
 
 common::milliseconds fleet_node::configuration_age() const
 {
-    return std::chrono::duration_cast<common::milliseconds>(
-        this->dependencies.clock.steady_now() - this->configuration_confirmed_as_of);
+    return std::chrono::duration_cast<common::milliseconds>(this->dependencies.clock.steady_now() -
+                                                            this->configuration_confirmed_as_of);
 }
 
 bool fleet_node::is_ready() const
--- a/src/store/prefix_follower.cpp
+++ b/src/store/prefix_follower.cpp
@@ -84,19 +84,10 @@
     void handle_changes(common::result<change_page> page)
     {
         if (!page) {
-            const bool history_expired = page.error().code == common::errc::expired;
-            this->retry_after_error(
-                page.error(),
-                [this, history_expired] {
-                    if (history_expired) {
-                        this->read_all();
-                    } else {
-                        this->watch_changes();
-                    }
-                },
-                history_expired);
+            this->recover_from_failed_watch(page.error());
             return;
         }
+        this->failed_watches = 0;
         item_map changed;
         for (change& each : page.value().changes) {
             const auto known = this->items.find(each.entry.key);
@@ -128,6 +119,25 @@
         }
     }
 
+    /// Repeats a watch only if it was refused. The changes since its revision may be too many for
+    /// one response, and become more with each retry; the items themselves don't.
+    void recover_from_failed_watch(const common::error& cause)
+    {
+        ++this->failed_watches;
+        const bool history_expired = cause.code == common::errc::expired;
+        const bool refused = cause.code == common::errc::unavailable;
+        this->retry_after_error(
+            cause,
+            [this, resume = refused && this->failed_watches == 1] {
+                if (resume) {
+                    this->watch_changes();
+                } else {
+                    this->read_all();
+                }
+            },
+            history_expired);
+    }
+
     template <typename Next>
     void after(common::milliseconds delay, Next next)
     {
@@ -172,6 +182,7 @@
     item_map loading_items;
     std::int64_t loading_revision = 0;
     std::int64_t revision = 0;
+    int failed_watches = 0; ///< since the last one that succeeded
     bool stopped = false;
 };
 
--- a/src/store/prefix_follower.h
+++ b/src/store/prefix_follower.h
@@ -53,9 +53,10 @@
                : options.batch_delay + common::milliseconds(items / options.items_per_delay_ms);
 }
 
-/// Keeps a copy of the items under a prefix: reads all of them, then watches for changes, and reads
-/// all again when the store no longer has the history to watch from. Not thread safe: call it only
-/// on the io_context's thread.
+/// Keeps a copy of the items under a prefix: reads all of them, then watches for changes. After a
+/// failed watch it reads all of them again, so that catching up takes no longer after a long outage
+/// than after a short one; a watch that the store refused is resumed once. Not thread safe: call it
+/// only on the io_context's thread.
 class prefix_follower {
 public:
     /// Precondition: `from` outlives the follower.
