Read a failed page again without the pages before it

Cause: a full read that failed on any page began again at the first. With P pages and a share p of lost answers it succeeds with (1-p)^P, so the more items, the later a follower is current again; found while looking for other work that repeats what has just failed. Change: only the page is read again; the watch still begins at the revision of the first page. Test: a_page_that_fails_is_read_again_without_the_pages_before_it; on the earlier code it failed, reading the first page twice. Conclusion: a full read makes progress with each answered page.

--- a/src/store/prefix_follower.cpp
+++ b/src/store/prefix_follower.cpp
@@ -34,18 +34,25 @@
 private:
     void read_page(const std::string& after)
     {
-        this->source.range(this->prefix, after,
-                           [self = this->shared_from_this()](common::result<range_page> page) {
-                               if (!self->stopped) {
-                                   self->handle_page(std::move(page));
-                               }
-                           });
+        this->source.range(
+            this->prefix, after,
+            [self = this->shared_from_this(), after](common::result<range_page> page) {
+                if (!self->stopped) {
+                    self->handle_page(after, std::move(page));
+                }
+            });
     }
 
-    void handle_page(common::result<range_page> page)
+    void handle_page(const std::string& after, common::result<range_page> page)
     {
         if (!page) {
-            this->retry_after_error(page.error(), [this] { this->read_all(); });
+            this->retry_after_error(page.error(), [this, after] {
+                if (after.empty()) {
+                    this->read_all();
+                } else {
+                    this->read_page(after);
+                }
+            });
             return;
         }
         if (this->loading_revision == 0) {
--- a/src/store/tests/prefix_follower_tests.cpp
+++ b/src/store/tests/prefix_follower_tests.cpp
@@ -228,3 +228,19 @@
     followed.answer_watch();
     cr_assert(followed.latest.at("in/0").value == "new");
 }
+
+Test(prefix_follower, a_page_that_fails_is_read_again_without_the_pages_before_it)
+{
+    watched_store source;
+    followed_prefix followed(source, 0);
+    for (int i = 0; i < 1200; ++i) {
+        source.put("in/" + std::to_string(10'000 + i), "value");
+    }
+    source.is_cut = true;
+    source.pages_read.clear();
+    source.failing_read = 2;
+    followed.answer_watch();
+    cr_assert(source.pages_read.size() >= 4, "%zu", source.pages_read.size());
+    cr_assert(std::count(source.pages_read.begin(), source.pages_read.end(), std::string{}) == 1);
+    cr_assert(followed.latest.size() == 1200);
+}
