--- a/src/daemon/store_transport.cpp
+++ b/src/daemon/store_transport.cpp
@@ -121,8 +121,14 @@
     } else {
         this->try_peer(pending, *route, remaining);
     }
-    // A route that does not respond must not delay the call: the next one is tried in parallel.
-    pending->hedge_timer->expires_after(pending->wait + hedge_delay);
+    this->schedule_next_route(pending, pending->wait + hedge_delay);
+}
+
+/// A route that does not respond must not delay the call: the next one is tried in parallel.
+void store_transport::schedule_next_route(const std::shared_ptr<pending_call>& pending,
+                                          common::milliseconds delay)
+{
+    pending->hedge_timer->expires_after(delay);
     pending->hedge_timer->async_wait([this, pending](const boost::system::error_code& failure) {
         if (!failure) {
             this->try_next_route(pending);
@@ -153,11 +159,19 @@
 void store_transport::try_direct(const std::shared_ptr<pending_call>& pending,
                                  common::milliseconds limit)
 {
-    this->client.call(this->address, pending->request, limit,
-                      [this, pending](common::result<net::http_response> answer) {
-                          --pending->pending_attempts;
-                          this->handle_direct_response(pending, std::move(answer));
-                      });
+    this->client.call(
+        this->address, pending->request, limit,
+        [this, pending](common::result<net::http_response> answer) {
+            --pending->pending_attempts;
+            this->handle_direct_response(pending, std::move(answer));
+        },
+        [this, pending] {
+            // The same response over another route would compete for this node's
+            // link with the one that is arriving.
+            if (pending->done) {
+                this->schedule_next_route(pending, hedge_delay);
+            }
+        });
 }
 
 void store_transport::handle_direct_response(const std::shared_ptr<pending_call>& pending,
--- a/src/daemon/store_transport.h
+++ b/src/daemon/store_transport.h
@@ -12,8 +12,8 @@
 namespace chervilslip::daemon {
 
 /// Calls the store directly, or via a peer while the store does not serve this node. If a route
-/// does not respond in time, the call is also sent over the next route, and the first response is
-/// used. Not thread safe: used on the io_context's thread.
+/// does not respond in time, or its response stops arriving, the call is also sent over the next
+/// route, and the first response is used. Not thread safe: used on the io_context's thread.
 class store_transport final : public net::http_path {
 public:
     /// Prefix of the targets of peers' calls that are to be forwarded to the store.
@@ -41,6 +41,8 @@
     struct pending_call;
 
     void try_next_route(const std::shared_ptr<pending_call>& pending);
+    void schedule_next_route(const std::shared_ptr<pending_call>& pending,
+                             common::milliseconds delay);
     void try_direct(const std::shared_ptr<pending_call>& pending, common::milliseconds limit);
     void try_peer(const std::shared_ptr<pending_call>& pending, const std::string& peer,
                   common::milliseconds limit);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -120,12 +120,13 @@
 class call_state final : public std::enable_shared_from_this<call_state<Pool>> {
 public:
     call_state(std::shared_ptr<Pool> owner, endpoint target, http_request&& request,
-               common::milliseconds limit, http_answer handler)
+               common::milliseconds limit, http_answer handler, http_progress progress_handler)
         : connections(std::move(owner)), peer(std::move(target)),
           message(to_beast(std::move(request), this->peer)), time_limit(limit),
-          answer(std::move(handler))
+          answer(std::move(handler)), progress(std::move(progress_handler))
     {
         this->parser.body_limit(this->connections->body_bytes);
+        this->parser.eager(true);
     }
 
     void start()
@@ -184,15 +185,20 @@
     void receive()
     {
         this->buffer.reserve(read_size);
-        http::async_read(*this->stream, this->buffer, this->parser,
-                         [self = this->shared_from_this()](const boost::system::error_code& failure,
-                                                           std::size_t) {
-                             if (failure) {
-                                 self->fail("receive answer", failure, self->received_part());
-                                 return;
-                             }
-                             self->deliver();
-                         });
+        http::async_read_some(*this->stream, this->buffer, this->parser,
+                              [self = this->shared_from_this()](
+                                  const boost::system::error_code& failure, std::size_t) {
+                                  if (failure) {
+                                      self->fail("receive answer", failure, self->received_part());
+                                  } else if (self->parser.is_done()) {
+                                      self->deliver();
+                                  } else {
+                                      if (self->progress) {
+                                          self->progress();
+                                      }
+                                      self->receive();
+                                  }
+                              });
     }
 
     void deliver()
@@ -216,14 +222,14 @@
     }
 
     void fail(std::string step, const boost::system::error_code& failure,
-              const std::string& progress = {})
+              const std::string& received = {})
     {
         if (failure == beast::error::timeout) {
             // Other idle connections to a silent peer may be just as silent.
             this->connections->idle.erase(this->peer);
         }
         this->finish(make_error(cause_of(failure), std::move(step), this->peer.to_string(),
-                                failure.message() + progress));
+                                failure.message() + received));
     }
 
     void finish_later(error cause)
@@ -244,6 +250,7 @@
     http::request<http::string_body> message;
     common::milliseconds time_limit;
     http_answer answer;
+    http_progress progress;
     std::unique_ptr<beast::tcp_stream> stream;
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
@@ -263,10 +270,10 @@
 }
 
 void http_client::call(const endpoint& peer, http_request request, common::milliseconds time_limit,
-                       http_answer answer)
+                       http_answer answer, http_progress progress)
 {
     std::make_shared<call_state<pool>>(this->connections, peer, std::move(request), time_limit,
-                                       std::move(answer))
+                                       std::move(answer), std::move(progress))
         ->start();
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -12,6 +12,9 @@
 
 using http_answer = std::function<void(common::result<http_response>)>;
 
+/// Is called whenever a part of the response has arrived.
+using http_progress = std::function<void()>;
+
 /// Calls HTTP/1.1 peers and keeps idle connections for later calls. An error says
 /// `connect_failed` only when no byte of the request was sent; every other error means that the
 /// peer may have acted. Not thread safe: used on the io_context's thread.
@@ -25,8 +28,9 @@
     ~http_client();
 
     /// Sends one request and hands the whole answer, or the error, to `answer` exactly once.
+    /// `progress` may be empty; it isn't called after `answer`.
     void call(const endpoint& peer, http_request request, common::milliseconds time_limit,
-              http_answer answer);
+              http_answer answer, http_progress progress = {});
 
 private:
     class pool;
