--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -19,6 +19,9 @@
 /// A node that has not heard from the store for longer than this is not ready for clients.
 constexpr common::milliseconds store_contact_limit{2000};
 
+/// Shorter than the time within which a change of the configuration has to be in force.
+constexpr common::milliseconds recent_configuration_age{1500};
+
 /// Timeout of calls to the owner, which answers from memory. Job states are read from the store
 /// instead after a timeout.
 constexpr common::milliseconds owner_call_timeout{250};
@@ -173,6 +176,11 @@
                                                             this->configuration_confirmed_as_of);
 }
 
+bool fleet_node::is_configuration_recent() const
+{
+    return this->configuration_age() < recent_configuration_age;
+}
+
 bool fleet_node::is_ready() const
 {
     return !this->stopping && this->active_configuration && this->store_contacted &&
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -72,6 +72,10 @@
     /// Precondition: a configuration is in force.
     [[nodiscard]] common::milliseconds configuration_age() const;
 
+    /// Returns whether the configuration in force is recent enough to deny that a queue or a key
+    /// exists. Precondition: a configuration is in force.
+    [[nodiscard]] bool is_configuration_recent() const;
+
     /// Returns whether clients should be routed to this node.
     [[nodiscard]] bool is_ready() const;
 
