Take no registry entry for an unknown pool as proof that a worker has ended

Cause: of all entries on a VM the one with the latest start proved that the others had ended, whatever it named.

--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -93,9 +93,12 @@
 
 void scheduler_host::configure(std::shared_ptr<const fleet_configuration> newer)
 {
-    this->configuration = std::move(newer);
+    const auto earlier = std::exchange(this->configuration, std::move(newer));
     if (this->scheduler) {
         this->scheduler->configure(this->configuration->policy);
+        if (earlier->policy.pools != this->configuration->policy.pools) {
+            this->scheduler->update_workers(this->worker_entries, this->now());
+        }
         this->controller->configure(this->configuration);
         this->execute_actions();
     }
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,6 +50,7 @@
     std::int64_t version = 0;
     std::map<std::string, jobs::queue_policy> queues;
     std::map<std::string, team_policy> teams;
+    std::set<std::string> pools; ///< with those that no queue uses
 
     friend bool operator==(const policy&, const policy&) = default;
 };
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -95,6 +95,10 @@
         return;
     }
     this->current_policy = std::move(new_policy);
+    this->known_pools = this->current_policy.pools;
+    for (const auto& [name, queue] : this->current_policy.queues) {
+        this->known_pools.insert(queue.pool);
+    }
     this->dispatch_due = true;
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -332,6 +332,7 @@
 
     scheduler_options options;
     policy current_policy;
+    std::set<std::string> known_pools; ///< of the current policy
     worker_map workers;
     std::uint64_t last_listing = 0;            ///< number of the latest worker registry
     std::optional<pool_index> workers_by_pool; ///< unset after a change of the workers
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -49,9 +49,13 @@
 void scheduler::update_workers(const std::vector<worker_entry>& entries, common::steady_time now)
 {
     // The entry of an ended instance may remain in the registry for seconds. A newer instance on
-    // the same VM proves that the earlier one has ended.
+    // the same VM proves that the earlier one has ended; an entry for a pool that isn't configured
+    // may be anybody's and proves nothing.
     std::unordered_map<std::string_view, const worker_entry*> newest_on_vm;
     for (const worker_entry& entry : entries) {
+        if (!this->known_pools.contains(entry.pool)) {
+            continue;
+        }
         const worker_entry*& newest = newest_on_vm[entry.vm];
         if (newest == nullptr || newest->instance.started_at_ms < entry.instance.started_at_ms) {
             newest = &entry;
@@ -65,7 +69,7 @@
     };
     ++this->last_listing;
     for (const worker_entry& entry : entries) {
-        if (successor_of(entry) == nullptr) {
+        if (this->known_pools.contains(entry.pool) && successor_of(entry) == nullptr) {
             this->update_worker(entry, now);
         }
     }
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -116,6 +116,29 @@
     cr_assert(fixture.starts[1].worker.id == other.instance.id);
 }
 
+Test(scheduler_recovery, a_foreign_entry_on_the_vm_of_a_worker_at_work_ends_none_of_its_runs)
+{
+    // given
+    scheduler_fixture fixture;
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    const start_command start = fixture.starts.at(0);
+    fixture.answer_start(start, command_outcome::accepted);
+
+    // when
+    worker_entry foreign = make_worker("foreign", "not configured");
+    foreign.vm = make_worker(start.worker.id).vm;
+    foreign.instance.started_at_ms = 2;
+    fixture.under_test.update_workers({make_worker("w1"), make_worker("w2"), foreign},
+                                      fixture.now());
+    fixture.advance(fixture.now_ms + 100);
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.under_test.all_workers().at(start.worker.id).listed);
+    cr_assert_not(fixture.under_test.all_workers().contains("foreign"));
+}
+
 Test(scheduler_recovery, the_registry_entry_of_an_ended_instance_is_ignored)
 {
     // given
