Conclude from a worker's list of ends only when it is complete

Cause: a run that was neither in the list of runs nor among the listed ends was given up, whether or not that list had been cut at 500. Change: a report says whether it lists all ends; the adapter knows by the page's size. Nothing is concluded from what is missing until a complete report has come; the pages follow as ends are acknowledged. Relayed reports carry it in a field that is written only for incomplete ones, so nodes of the earlier version still read them. The workers of the soak and of the stand-in list 500 ends at a time, like real ones. Other lists with pages, looked through: store ranges (prefix_follower, the progress read at a takeover, wave progress, lookups) and VMs (machine_client) are read to the end before they are used; purging takes one page at a time on purpose; tasks are listed without pages.

--- a/src/fakes/run_model.cpp
+++ b/src/fakes/run_model.cpp
@@ -9,6 +9,9 @@
 using scheduling::command_outcome;
 using scheduling::end_cause;
 
+/// Ends that a worker lists at a time.
+constexpr std::size_t ends_per_report = 500;
+
 constexpr std::int64_t longest_hold_ms = 6000;
 constexpr std::int64_t full_percent = 100;
 
@@ -157,7 +160,10 @@
     for (const auto& [task, run] : this->running) {
         seen.running.push_back({task, run.run, run.checkpoint, full_percent, 0});
     }
-    seen.finished = this->ended;
+    const auto listed = std::min(this->ended.size(), ends_per_report);
+    seen.finished.assign(this->ended.begin(),
+                         this->ended.begin() + static_cast<std::ptrdiff_t>(listed));
+    seen.lists_all_ends = listed < ends_per_report;
     return seen;
 }
 
--- a/src/scheduling/command_codec.cpp
+++ b/src/scheduling/command_codec.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t fields_of_header = 5;
 constexpr std::size_t fields_of_result = 3;
 constexpr std::size_t fields_of_run = 5;
+constexpr std::size_t fields_of_report = 4;
 
 jobs::task_id read_task(const msgpack::object& source)
 {
@@ -157,7 +158,10 @@
 
 void write_report(msgpack_writer& to, const worker_report& report)
 {
-    to.array(4).add(report.started_at_ms).add(report.clock_ms).array(report.running.size());
+    to.array(fields_of_report + (report.lists_all_ends ? 0U : 1U))
+        .add(report.started_at_ms)
+        .add(report.clock_ms)
+        .array(report.running.size());
     for (const reported_run& row : report.running) {
         to.array(fields_of_run)
             .add(row.task.to_string())
@@ -175,6 +179,9 @@
             .add(static_cast<int>(row.cause))
             .add(row.checkpoint);
     }
+    if (!report.lists_all_ends) {
+        to.add(report.lists_all_ends);
+    }
 }
 
 worker_report read_report(const msgpack_row& source)
@@ -198,6 +205,7 @@
             {row.get<std::int64_t>(0), read_task(row.at(1)), row.get<std::int64_t>(2),
              static_cast<end_cause>(row.get<int>(3)), row.get<std::string>(4)});
     });
+    report.lists_all_ends = source.size() <= fields_of_report || source.get<bool>(fields_of_report);
     return report;
 }
 
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -210,6 +210,7 @@
     std::int64_t clock_ms = 0;      ///< the worker's clock when it answered
     std::vector<reported_run> running;
     std::vector<finished_run> finished;
+    bool lists_all_ends = true; ///< false: more ends follow once these are acknowledged
 
     friend bool operator==(const worker_report&, const worker_report&) = default;
 };
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -366,6 +366,9 @@
 
 void scheduler::reconcile_missing(worker_state& worker, const poll_result& answer)
 {
+    if (!answer.report.lists_all_ends) {
+        return;
+    }
     std::vector<const jobs::task_id*> listed;
     listed.reserve(answer.report.running.size());
     for (const reported_run& reported : answer.report.running) {
--- a/src/scheduling/tests/command_codec_tests.cpp
+++ b/src/scheduling/tests/command_codec_tests.cpp
@@ -75,7 +75,10 @@
     // given
     worker_report report{77, 1234, {{{"j1", 0, 0, 0}, 1, "cp", 50, 900}}, {}};
     report.finished.push_back({7, {"j1", 0, 0, 1}, 2, end_cause::lapsed, "cp"});
+    worker_report page = report;
+    page.lists_all_ends = false;
     const std::vector<numbered_result> results{{1, command_outcome::accepted, 0, report},
+                                               {3, command_outcome::accepted, 0, page},
                                                {2, command_outcome::no_capacity, 4711, {}}};
 
     // when
--- a/src/scheduling/tests/scheduler_fixture.h
+++ b/src/scheduling/tests/scheduler_fixture.h
@@ -96,9 +96,10 @@
 
     /// Answers the pending poll of a worker.
     void answer_poll(const std::string& worker, std::vector<reported_run> running = {},
-                     std::vector<finished_run> finished = {})
+                     std::vector<finished_run> finished = {}, bool lists_all_ends = true)
     {
         worker_report report;
+        report.lists_all_ends = lists_all_ends;
         report.started_at_ms = 1;
         report.clock_ms = this->clock_ms_at(this->now() - milliseconds(this->answer_delay_ms));
         report.running = std::move(running);
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -179,6 +179,33 @@
     cr_assert(fixture.starts[0].run == 2);
 }
 
+Test(scheduler_recovery, a_run_that_ended_beyond_the_first_page_of_ends_is_not_started_again)
+{
+    // given: an earlier owner's journal says that two tasks may run on w1
+    const jobs::job job = make_job("j1", 2);
+    job_progress progress = initial_progress(job);
+    progress.tasks[0][0][0] = {task_progress::phase::open, 1, 0, {"w1", 1}, {}};
+    progress.tasks[0][0][1] = {task_progress::phase::open, 1, 0, {"w1", 1}, {}};
+    scheduler_fixture fixture({make_worker("w1"), make_worker("w2")}, {{job, progress, false}});
+
+    // when
+    const finished_run first{1, {"j1", 0, 0, 0}, 1, end_cause::done, {}};
+    const finished_run second{2, {"j1", 0, 0, 1}, 1, end_cause::done, {}};
+    fixture.answer_poll("w2");
+    fixture.answer_poll("w1", {}, {first}, false);
+    fixture.advance(fixture.now_ms + 500);
+    fixture.answer_poll("w1", {}, {first}, false); // asked before the end was durable
+    fixture.advance(fixture.now_ms + 500);
+    cr_assert(fixture.starts.empty());
+    cr_assert(fixture.polls.at("w1").acknowledged == 1);
+    fixture.answer_poll("w1", {}, {second});
+    fixture.advance(fixture.now_ms + 500);
+
+    // then
+    cr_assert(fixture.starts.empty());
+    cr_assert(fixture.under_test.counters().jobs_completed == 1);
+}
+
 Test(scheduler_recovery, a_new_owner_waits_for_the_leases_on_an_unresponsive_worker)
 {
     // given
