Order an unanswered move again until its fate is known

Cause: a move without an answer left the VM cordoned until it reappeared, which it never did if the move had not been carried out. The planner forgot the move after 4 s and counted the cordoned VM as supply of its pool. Change: the same move is ordered again every 0.5 s, with the fence, until it is answered: done, or refused, which lifts the cordon. A refusal for the rate of calls says nothing of the first order. It ends when the worker is gone, and waits while a wave takes the VM. A cordoned VM without a move in the planner is no supply. Tests: fleet_controller_tests, new. a_vm_whose_move_was_not_answered_works_again_once_the_order_is_refused and a_vm_whose_move_is_still_unanswered_is_no_supply_of_its_pool failed on the earlier controller; an_unanswered_move_is_not_repeated_for_the_next_worker_of_the_vm guards the change.

--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -25,6 +25,9 @@
 /// Interval between planning rounds.
 constexpr common::milliseconds plan_interval{100};
 
+/// A move without an answer is ordered again at this interval.
+constexpr common::milliseconds repeat_interval{500};
+
 /// Each plan looks at all VMs, so the interval grows by a millisecond for so many of them.
 constexpr std::size_t vms_per_plan_ms = 10;
 
@@ -269,6 +272,7 @@
             this->execute(step, now);
         }
     }
+    this->repeat_unanswered_moves(now);
     this->plan_pools(now);
 }
 
@@ -291,7 +295,8 @@
         fleet::pool_vm& vm_info = found->second;
         vm_info.pool = worker.entry.pool;
         vm_info.up = worker.token_seen && worker.missed_polls == 0;
-        vm_info.reserved = vm_info.reserved || worker.entry.draining;
+        const bool is_withheld = worker.cordoned && !this->pools.is_moving(worker.entry.vm);
+        vm_info.reserved = vm_info.reserved || worker.entry.draining || is_withheld;
         vm_info.idle = worker.runs.empty();
         vm_info.idle_since = worker.idle_since;
     }
@@ -329,13 +334,27 @@
     }
 }
 
+bool fleet_controller::is_cordoned(const std::string& vm) const
+{
+    const auto& workers = this->dependencies.scheduler.all_workers();
+    return std::any_of(workers.begin(), workers.end(), [&vm](const auto& each) {
+        return each.second.entry.vm == vm && each.second.listed && each.second.cordoned;
+    });
+}
+
 void fleet_controller::order_move(const fleet::vm_move& move)
 {
     this->cordon_vm(move.vm, true);
+    this->send_move(move, false);
+}
+
+void fleet_controller::send_move(const fleet::vm_move& move, bool repeated)
+{
     const std::weak_ptr<int> alive = this->lifetime;
     ++this->pending_orders;
     this->dependencies.machines.move_vm(
-        move.vm, move.to, this->fence, [this, alive, move](fleet::vm_order_outcome vm_outcome) {
+        move.vm, move.to, this->fence,
+        [this, alive, move, repeated](fleet::vm_order_outcome vm_outcome) {
             if (alive.expired()) {
                 return;
             }
@@ -348,15 +367,37 @@
                                           {"to", move.to},
                                           {"token", this->fence.token},
                                           {"outcome", fleet::to_string(vm_outcome)}});
-            // Without a response the move may still take place: the VM stays cordoned until it
-            // reappears.
-            if (!accepted && vm_outcome != fleet::vm_order_outcome::unknown) {
+            using outcome = fleet::vm_order_outcome;
+            // That the repetition was not handled says nothing of the first order.
+            if (vm_outcome == outcome::unknown || (repeated && vm_outcome == outcome::try_later)) {
+                this->unanswered_moves.push_back(move);
+            } else if (!accepted) {
                 this->pools.cancel_move(move.vm);
                 this->cordon_vm(move.vm, false);
             }
         });
 }
 
+/// The answer to the same order tells whether it has been, is being or will never be carried out.
+/// Meanwhile the VM stays cordoned, as the first order may still end what runs on it.
+void fleet_controller::repeat_unanswered_moves(common::steady_time now)
+{
+    if (now < this->next_repeat) {
+        return;
+    }
+    this->next_repeat = now + repeat_interval;
+    for (const fleet::vm_move& move : std::exchange(this->unanswered_moves, {})) {
+        if (!this->is_cordoned(move.vm)) {
+            continue; // the worker that it was for is gone
+        }
+        if (this->planner.is_draining_or_down(move.vm)) {
+            this->unanswered_moves.push_back(move);
+        } else {
+            this->send_move(move, true);
+        }
+    }
+}
+
 void fleet_controller::read_vm_list(common::steady_time now)
 {
     this->list_pending = true;
--- a/src/daemon/fleet_controller.h
+++ b/src/daemon/fleet_controller.h
@@ -86,6 +86,9 @@
     void order_maintenance(const maintenance::wave_step& step);
     void plan_pools(common::steady_time now);
     void order_move(const fleet::vm_move& move);
+    void send_move(const fleet::vm_move& move, bool repeated);
+    void repeat_unanswered_moves(common::steady_time now);
+    [[nodiscard]] bool is_cordoned(const std::string& vm) const;
     void evacuate_vm(const std::string& vm, common::steady_time now);
     void cordon_vm(const std::string& vm, bool cordoned);
     [[nodiscard]] std::map<std::string, fleet::pool_vm> pool_view() const;
@@ -109,6 +112,9 @@
     std::vector<maintenance::wave_request> waves;
     bool progress_restored = false; ///< the progress made under earlier holders has been read
     fleet::pool_planner pools;
+    /// Moves that may or may not have been carried out.
+    std::vector<fleet::vm_move> unanswered_moves;
+    common::steady_time next_repeat;
     std::vector<fleet::fleet_vm> vms;
     common::steady_time vm_list_requested_at;
     common::steady_time next_list;
--- /dev/null
+++ b/src/daemon/tests/fleet_controller_tests.cpp
@@ -0,0 +1,204 @@
+#include "daemon/fleet_controller.h"
+#include "daemon/store_keys.h"
+#include "fakes/revision_store.h"
+#include "scheduling/tests/scheduler_fixture.h"
+
+namespace {
+
+using namespace chervilslip;
+using namespace chervilslip::scheduling::tests;
+using fleet::vm_order_outcome;
+
+/// In-memory store that answers at once.
+class memory_store final : public store::transactional_store {
+public:
+    void read(const std::string& key, store::handler<std::optional<store::item>> done) override
+    {
+        done(this->items.read(key));
+    }
+
+    void range(const std::string& prefix, const std::string& after,
+               store::handler<store::range_page> done) override
+    {
+        done(this->items.range(prefix, after));
+    }
+
+    void watch(const std::string&, std::int64_t, common::milliseconds,
+               store::handler<store::change_page>) override
+    {
+    }
+
+    void commit(const store::transaction& changes,
+                store::handler<store::commit_outcome> done) override
+    {
+        done(this->items.commit(changes));
+    }
+
+    void grant(common::milliseconds, store::handler<store::lease_grant>) override
+    {
+    }
+
+    void renew(std::uint64_t, store::handler<common::milliseconds>) override
+    {
+    }
+
+    void end_lease(std::uint64_t, store::handler<bool>) override
+    {
+    }
+
+    fakes::revision_store items;
+};
+
+/// Answers each move with the same outcome.
+class fake_vm_control final : public fleet::vm_control {
+public:
+    void list_vms(std::function<void(common::result<std::vector<fleet::fleet_vm>>)> done) override
+    {
+        done(this->vms);
+    }
+
+    void move_vm(const std::string& vm, const std::string& pool, const fleet::order_fence&,
+                 std::function<void(vm_order_outcome)> done) override
+    {
+        this->moves.push_back({vm, pool});
+        done(this->outcome);
+    }
+
+    void start_maintenance(const std::string&, std::int64_t, const fleet::order_fence&,
+                           std::function<void(vm_order_outcome)>) override
+    {
+    }
+
+    void report_wave(std::int64_t, bool, std::function<void(common::result<bool>)>) override
+    {
+    }
+
+    [[nodiscard]] bool has_moved(const std::string& vm, const std::string& pool) const
+    {
+        return std::count(this->moves.begin(), this->moves.end(), fleet::vm_move{vm, pool}) > 0;
+    }
+
+    std::vector<fleet::fleet_vm> vms;
+    std::vector<fleet::vm_move> moves;
+    vm_order_outcome outcome = vm_order_outcome::unknown;
+};
+
+/// A pool "main" of one idle worker, and a VM in the standby pool "parked".
+struct controlled_fleet {
+    controlled_fleet() : fixture({make_worker("w1")})
+    {
+        fleet::fleet_vm working;
+        working.name = "vm-w1";
+        working.pool = "main";
+        working.state = fleet::vm_state::up;
+        working.processors = 4000;
+        fleet::fleet_vm spare = working;
+        spare.name = "vm-spare";
+        spare.pool = "parked";
+        this->machines.vms = {working, spare};
+        const auto claimed =
+            this->store.items.commit({{}, {{std::string(daemon::store_keys::claim), "", 0}}, {}});
+        this->controller = std::make_unique<daemon::fleet_controller>(
+            daemon::fleet_controller_dependencies{
+                this->context,
+                this->clock,
+                this->log,
+                this->store,
+                this->machines,
+                this->fixture.under_test,
+                [](const daemon::process_identity&) { return true; },
+                {}},
+            daemon::process_identity{"n1", 1}, claimed.value().revision, time_at(0));
+        auto configuration = std::make_shared<daemon::fleet_configuration>();
+        configuration->standby_pools = {"parked"};
+        this->controller->configure(configuration);
+        this->fixture.answer_first_polls();
+    }
+
+    /// Lets time pass, with a look at the fleet each 100 ms.
+    void run_until(std::int64_t end_ms)
+    {
+        while (this->fixture.now_ms < end_ms) {
+            this->fixture.advance(this->fixture.now_ms + 100);
+            if (this->fixture.polls.contains("w1")) {
+                this->fixture.answer_poll("w1", this->running);
+            }
+            this->controller->tick(this->fixture.now(), time_at(1'000'000));
+        }
+    }
+
+    [[nodiscard]] bool is_cordoned() const
+    {
+        return this->fixture.under_test.all_workers().at("w1").cordoned;
+    }
+
+    scheduler_fixture fixture;
+    std::vector<scheduling::reported_run> running;
+    boost::asio::io_context context;
+    common::real_clock clock;
+    common::event_log log{"n1"};
+    memory_store store;
+    fake_vm_control machines;
+    std::unique_ptr<daemon::fleet_controller> controller;
+};
+
+} // namespace
+
+Test(fleet_controller, a_vm_whose_move_was_not_answered_works_again_once_the_order_is_refused)
+{
+    // given
+    controlled_fleet fleet;
+    fleet.run_until(2000);
+    cr_assert(fleet.machines.has_moved("vm-w1", "parked"));
+    cr_assert(fleet.is_cordoned());
+
+    // when
+    fleet.fixture.submit_job(make_job("j1"));
+    fleet.machines.outcome = vm_order_outcome::try_later;
+    fleet.run_until(3000);
+    cr_assert(fleet.is_cordoned());
+    fleet.machines.outcome = vm_order_outcome::busy;
+    fleet.run_until(4000);
+
+    // then
+    cr_assert_not(fleet.is_cordoned());
+    cr_assert(fleet.fixture.starts.size() == 1);
+}
+
+Test(fleet_controller, a_vm_whose_move_is_still_unanswered_is_no_supply_of_its_pool)
+{
+    // given: no other VM for the job
+    controlled_fleet fleet;
+    const fleet::fleet_vm spare = fleet.machines.vms.back();
+    fleet.machines.vms.pop_back();
+    fleet.run_until(2000);
+    cr_assert(fleet.is_cordoned());
+    fleet.fixture.submit_job(make_job("j1"));
+    fleet.run_until(8000);
+
+    // when
+    fleet.machines.vms.push_back(spare);
+    fleet.run_until(9000);
+
+    // then
+    cr_assert(fleet.machines.has_moved("vm-spare", "main"));
+}
+
+Test(fleet_controller, an_unanswered_move_is_not_repeated_for_the_next_worker_of_the_vm)
+{
+    // given
+    controlled_fleet fleet;
+    fleet.run_until(2000);
+    cr_assert(fleet.is_cordoned());
+
+    // when
+    scheduling::worker_entry next = make_worker("w2");
+    next.vm = "vm-w1";
+    next.instance.started_at_ms = 2;
+    fleet.fixture.under_test.update_workers({next}, fleet.fixture.now());
+    const auto orders = fleet.machines.moves.size();
+    fleet.run_until(3000);
+
+    // then
+    cr_assert(fleet.machines.moves.size() == orders);
+}
