--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-/// A worker with this many consecutive failures gets one task at a time until one succeeds.
+/// A worker with this many consecutive failures gets one task at a time, beside those that last,
+/// until one succeeds.
 constexpr std::int64_t probation_failures = 3;
 
 constexpr double remote_data_cost = 100.0;
@@ -66,7 +67,8 @@
     // Limited in time: if the last run failed on every worker, a retry would never be placed.
     const bool failed_recently =
         worker.consecutive_failures > 0 && now - worker.last_failure < retry_exclusion_time;
-    if ((on_probation && !worker.runs.empty()) || (request.retried && failed_recently)) {
+    const bool is_tried = worker.runs.size() > worker.lasting_runs;
+    if ((on_probation && is_tried) || (request.retried && failed_recently)) {
         return std::nullopt;
     }
     // Best fit: prefers the fullest VM, so that others become idle and can be moved to another
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -454,6 +454,7 @@
     this->open_runs[task] = planned;
     const teams::resources size = footprint(job.spec.steps.at(task.step));
     worker.runs.insert(task);
+    worker.lasting_runs += job.spec.steps.at(task.step).long_running ? 1 : 0;
     if (this->suspicion_of(job, task) > 0) {
         worker.suspects.insert(task);
     }
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -147,6 +147,7 @@
 {
     const active_job& job = this->jobs_by_id.at(task.job);
     worker.runs.insert(task);
+    worker.lasting_runs += job.spec.steps.at(task.step).long_running ? 1 : 0;
     worker.used += footprint(job.spec.steps.at(task.step));
     if (this->suspicion_of(job, task) > 0) {
         worker.suspects.insert(task);
--- a/src/scheduling/tests/scheduler_tests.cpp
+++ b/src/scheduling/tests/scheduler_tests.cpp
@@ -290,6 +290,71 @@
     cr_assert(fixture.starts.size() == starts_before + 1);
 }
 
+Test(scheduler, a_worker_whose_tasks_all_fail_gets_one_task_at_a_time_beside_lasting_ones)
+{
+    // given: a lasting task on w1, and three failures
+    scheduler_fixture fixture({make_worker("w1")});
+    fixture.answer_first_polls();
+    jobs::job lasting = make_job("lasting");
+    lasting.steps[0].long_running = true;
+    fixture.submit_job(lasting);
+    const start_command kept = fixture.starts.at(0);
+    fixture.answer_start(kept, command_outcome::accepted);
+    for (const char* id : {"j1", "j2", "j3"}) {
+        fixture.submit_job(make_job(id));
+    }
+    fixture.advance();
+    std::vector<finished_run> failures;
+    for (const start_command& each :
+         std::vector(fixture.starts.begin() + 1, fixture.starts.end())) {
+        fixture.answer_start(each, command_outcome::accepted);
+        failures.push_back(make_finished_run(static_cast<std::int64_t>(failures.size()) + 1, each,
+                                             end_cause::failed));
+    }
+    fixture.now_ms += 100;
+    fixture.answer_poll("w1", {scheduler_fixture::running(kept)}, failures);
+    cr_assert(fixture.under_test.all_workers().at("w1").consecutive_failures == 3);
+    const std::size_t starts_before = fixture.starts.size();
+
+    // when
+    fixture.submit_job(make_job("j4", 2));
+    fixture.advance(fixture.now_ms + 100);
+
+    // then
+    cr_assert(fixture.starts.size() == starts_before + 1, "%zu", fixture.starts.size());
+}
+
+Test(scheduler, tasks_that_fail_on_several_workers_put_none_of_these_on_probation)
+{
+    // given
+    scheduler_fixture fixture;
+    fixture.answer_first_polls();
+    std::map<std::string, std::int64_t> ends;
+    const auto fail = [&fixture, &ends](const start_command& start) {
+        fixture.answer_start(start, command_outcome::accepted);
+        fixture.now_ms += 100;
+        fixture.answer_poll(start.worker.id, {},
+                            {make_finished_run(++ends[start.worker.id], start, end_cause::failed)});
+        fixture.advance(fixture.now_ms + 500);
+    };
+
+    // when: hopeless jobs fail on one worker, then on the other
+    for (const char* id : {"j1", "j2", "j3", "j4"}) {
+        fixture.submit_job(make_job(id));
+        const start_command first = fixture.starts.back();
+        fail(first);
+        const start_command second = fixture.starts.back();
+        cr_assert(second.task == first.task && second.worker != first.worker);
+        fail(second);
+    }
+
+    // then
+    for (const auto& [id, worker] : fixture.under_test.all_workers()) {
+        cr_assert(worker.consecutive_failures == 0, "%s", id.c_str());
+    }
+    cr_assert(fixture.under_test.counters().jobs_failed == 4);
+}
+
 Test(scheduler, a_timed_job_starts_no_occurrence_early)
 {
     // given
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -48,12 +48,14 @@
 
     teams::resources used; ///< by all runs that may exist there
     std::set<jobs::task_id> runs;
+    std::size_t lasting_runs = 0;     ///< those of `runs` that end only with their job
     std::set<jobs::task_id> suspects; ///< runs of tasks under which workers have crashed
     /// The worker gets no other new task until this one has survived its start.
     std::optional<jobs::task_id> isolated_task;
     common::steady_time isolated_since;
 
-    std::int64_t consecutive_failures = 0; ///< runs that ended `failed` since the last `done`
+    /// Runs that ended `failed` since the last `done`, except by the fault of their tasks.
+    std::int64_t consecutive_failures = 0;
     common::steady_time last_success;
     common::steady_time last_failure;
     common::steady_time blocked_until; ///< gets no new tasks before this time
