Put a VM back into service when its maintenance is rejected for good

Cause: a wave drained a VM, its order was rejected for good (another wave's, or invalid), and the VM left the wave with its cordon. As the list still showed it, it was drained and ordered again at the next plan: a retry that can't succeed, every 100 ms. Change: after such a rejection the VM is undrained and serves for 5 s before it is drained again; its wave stays open, since the VM has not been serviced. While a move of unknown fate may still take the VM away, undraining keeps the cordon. Tests: wave_planner, a_vm_whose_maintenance_was_rejected_for_good_does_not_stay_drained, fails with the old outcome put back (9 of 10 pass), passes now.

--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -398,6 +398,12 @@
     }
 }
 
+bool fleet_controller::has_unanswered_move(const std::string& vm) const
+{
+    return std::any_of(this->unanswered_moves.begin(), this->unanswered_moves.end(),
+                       [&vm](const fleet::vm_move& each) { return each.vm == vm; });
+}
+
 void fleet_controller::read_vm_list(common::steady_time now)
 {
     this->list_pending = true;
@@ -447,10 +453,13 @@
     using kind = maintenance::wave_step::kind;
     switch (step.what) {
     case kind::drain_vm:
+        this->cordon_vm(step.vm, true);
+        this->evacuate_vm(step.vm, now);
+        break;
     case kind::undrain_vm:
-        this->cordon_vm(step.vm, step.what == kind::drain_vm);
-        if (step.what == kind::drain_vm) {
-            this->evacuate_vm(step.vm, now);
+        // A move of unknown fate may still take the VM away.
+        if (!this->has_unanswered_move(step.vm)) {
+            this->cordon_vm(step.vm, false);
         }
         break;
     case kind::start_maintenance:
--- a/src/daemon/fleet_controller.h
+++ b/src/daemon/fleet_controller.h
@@ -89,6 +89,7 @@
     void send_move(const fleet::vm_move& move, bool repeated);
     void repeat_unanswered_moves(common::steady_time now);
     [[nodiscard]] bool is_cordoned(const std::string& vm) const;
+    [[nodiscard]] bool has_unanswered_move(const std::string& vm) const;
     void evacuate_vm(const std::string& vm, common::steady_time now);
     void cordon_vm(const std::string& vm, bool cordoned);
     [[nodiscard]] std::map<std::string, fleet::pool_vm> pool_view() const;
--- a/src/maintenance/tests/wave_planner_tests.cpp
+++ b/src/maintenance/tests/wave_planner_tests.cpp
@@ -188,4 +188,32 @@
     cr_assert(vms_with_step(steps, kind::undrain_vm).size() == 1);
 }
 
+Test(wave_planner, a_vm_whose_maintenance_was_rejected_for_good_does_not_stay_drained)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.update_waves({{1, {"a"}, milliseconds(20000), 1}}, at(0));
+    planner.plan(idle_vms(0), at(0));
+    planner.on_report_response(1, false, true);
+    cr_assert(vms_with_step(planner.plan(idle_vms(100), at(100)), kind::start_maintenance).size() ==
+              1);
+
+    // when
+    planner.on_order_response(1, "a", outcome::permanently_rejected, at(110));
+    const auto steps = planner.plan(idle_vms(200), at(200));
+    const auto next_steps = planner.plan(idle_vms(300), at(300));
+
+    // then: it serves again, and its wave stays open
+    cr_assert(vms_with_step(steps, kind::undrain_vm).size() == 1);
+    cr_assert(vms_with_step(steps, kind::drain_vm).empty());
+    cr_assert(next_steps.empty());
+    cr_assert_not(planner.is_draining_or_down("a"));
+
+    // when
+    planner.plan(idle_vms(6000), at(6000));
+
+    // then
+    cr_assert(planner.is_draining_or_down("a"));
+}
+
 } // namespace
--- a/src/maintenance/wave_planner.cpp
+++ b/src/maintenance/wave_planner.cpp
@@ -1,6 +1,7 @@
 #include "maintenance/wave_planner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chervilslip::maintenance {
 
@@ -78,6 +79,7 @@
     std::vector<wave_step> steps;
     for (auto& [number, wave] : this->waves) {
         if (!wave.completed_reported) {
+            undrain_released(wave, steps);
             this->update_from_list(wave, vms, now, steps);
             this->plan_wave(wave, vms, now, steps);
         }
@@ -85,6 +87,15 @@
     return steps;
 }
 
+void wave_planner::undrain_released(wave_progress& wave, std::vector<wave_step>& steps)
+{
+    for (auto& [name, vm] : wave.vms) {
+        if (std::exchange(vm.needs_undrain, false)) {
+            steps.push_back({wave_step::kind::undrain_vm, wave.request.number, name});
+        }
+    }
+}
+
 void wave_planner::update_from_list(wave_progress& wave,
                                     const std::map<std::string, vm_snapshot>& vms,
                                     common::steady_time now, std::vector<wave_step>& steps)
@@ -93,7 +104,7 @@
         const auto listed = vms.find(name);
         if (listed == vms.end()) {
             if (vm.phase != vm_phase::finished && now - vm.since > missing_timeout) {
-                vm = {vm_phase::excluded, now, {}, false};
+                vm = {vm_phase::excluded, now, {}, false, false};
             }
             continue;
         }
@@ -108,8 +119,9 @@
             // maintenance before.
             steps.push_back({wave_step::kind::undrain_vm, wave.request.number, name});
         }
-        if (vm.phase == vm_phase::excluded) {
-            vm = {vm_phase::waiting, now, {}, false};
+        if (vm.phase == vm_phase::excluded ||
+            (vm.phase == vm_phase::rejected && now >= vm.retry_at)) {
+            vm = {vm_phase::waiting, now, {}, false, false};
         }
     }
 }
@@ -191,10 +203,10 @@
     vm_progress& progress = found->second.vms[vm];
     switch (outcome) {
     case order_outcome::accepted:
-        progress = {vm_phase::down, now, {}, false};
+        progress = {vm_phase::down, now, {}, false, false};
         break;
     case order_outcome::permanently_rejected:
-        progress = {vm_phase::excluded, now, {}, false};
+        progress = {vm_phase::rejected, now, now + this->options.rejected_retry_delay, false, true};
         break;
     case order_outcome::try_later:
         progress.phase = vm_phase::draining;
--- a/src/maintenance/wave_planner.h
+++ b/src/maintenance/wave_planner.h
@@ -37,6 +37,9 @@
     common::milliseconds maintenance_time{2000}; ///< per VM, as stated by the platform
     common::milliseconds list_staleness{100};    ///< maximum age of the VM list when it arrives
     common::milliseconds order_retry_delay{300}; ///< delay after an order that was not accepted
+    /// A VM whose order was rejected for good is in service for this long before it is drained
+    /// again.
+    common::milliseconds rejected_retry_delay{5000};
     /// Runs of other than long-running tasks may finish within this time before they are ended.
     common::milliseconds drain_timeout{2500};
 
@@ -75,8 +78,8 @@
     std::vector<wave_step> plan(const std::map<std::string, vm_snapshot>& vms,
                                 common::steady_time now);
 
-    /// Handles the response to an order. A permanent rejection excludes the VM from the wave; a VM
-    /// that the list still shows is considered again.
+    /// Handles the response to an order. After a permanent rejection the VM is undrained, and
+    /// considered again later if the list still shows it.
     enum class order_outcome { accepted, permanently_rejected, try_later, unknown };
     void on_order_response(std::int64_t wave, const std::string& vm, order_outcome outcome,
                            common::steady_time now);
@@ -94,13 +97,14 @@
     [[nodiscard]] bool is_draining_or_down(const std::string& vm) const;
 
 private:
-    enum class vm_phase { waiting, draining, ordered, down, finished, excluded };
+    enum class vm_phase { waiting, draining, ordered, down, finished, rejected, excluded };
 
     struct vm_progress {
         vm_phase phase = vm_phase::waiting;
         common::steady_time since; ///< start of the phase
         common::steady_time retry_at;
         bool may_have_started = false; ///< an order got no response
+        bool needs_undrain = false;    ///< is drained, but its order was rejected
     };
 
     struct wave_progress {
@@ -112,6 +116,7 @@
         bool report_in_flight = false;
     };
 
+    static void undrain_released(wave_progress& wave, std::vector<wave_step>& steps);
     void plan_wave(wave_progress& wave, const std::map<std::string, vm_snapshot>& vms,
                    common::steady_time now, std::vector<wave_step>& steps);
     void update_from_list(wave_progress& wave, const std::map<std::string, vm_snapshot>& vms,
