Do not take one list without a VM as proof that it is gone

Cause: a VM counted as gone as soon as one list lacked it, if its phase had begun over 4 s before. Change: a VM counts as gone only if all lists that were requested over 4 s lack it. Tests: wave_planner, a_vm_that_one_list_misses_does_not_count_as_gone, fails with the old condition put back (9 of 10 pass), passes now.

--- a/src/maintenance/tests/wave_planner_tests.cpp
+++ b/src/maintenance/tests/wave_planner_tests.cpp
@@ -216,4 +216,26 @@
     cr_assert(planner.is_draining_or_down("a"));
 }
 
+Test(wave_planner, a_vm_that_one_list_misses_does_not_count_as_gone)
+{
+    // given: maintenance of "a" has started, and "b" waits for its turn
+    wave_planner planner(wave_options{});
+    planner.update_waves({{1, {"a", "b"}, milliseconds(20000), 1}}, at(0));
+    planner.plan(idle_vms(0), at(0));
+    planner.on_report_response(1, false, true);
+    planner.plan(idle_vms(100), at(100));
+    planner.on_order_response(1, "a", outcome::accepted, at(120));
+    planner.plan(idle_vms(5000), at(5000));
+
+    // when
+    auto without_b = idle_vms(6000);
+    without_b.erase("b");
+    const auto steps = planner.plan(without_b, at(6000));
+    const auto later = planner.plan(without_b, at(12000));
+
+    // then
+    cr_assert(vms_with_step(steps, kind::report_completed).empty());
+    cr_assert(vms_with_step(later, kind::report_completed).empty(), "all lists but one show it");
+}
+
 } // namespace
--- a/src/maintenance/wave_planner.cpp
+++ b/src/maintenance/wave_planner.cpp
@@ -11,7 +11,8 @@
 /// ready as soon as others are back.
 constexpr std::int64_t drained_ahead = 1;
 
-/// A VM that is missing from the list counts as gone when its phase began longer ago than this.
+/// A VM counts as gone if no list shows it for this long. A single list may miss it, because its
+/// pages are not a snapshot.
 constexpr common::milliseconds missing_timeout{4000};
 
 std::int64_t drain_cost(const vm_snapshot& vm)
@@ -96,18 +97,30 @@
     }
 }
 
+void wave_planner::update_missing(vm_progress& vm, common::steady_time list_requested_at,
+                                  common::steady_time now)
+{
+    vm.missing_since = vm.missing_since.value_or(list_requested_at);
+    if (vm.phase != vm_phase::finished && list_requested_at - *vm.missing_since > missing_timeout) {
+        vm = {vm_phase::excluded, now, {}, false, false, vm.missing_since};
+    }
+}
+
 void wave_planner::update_from_list(wave_progress& wave,
                                     const std::map<std::string, vm_snapshot>& vms,
                                     common::steady_time now, std::vector<wave_step>& steps)
 {
+    if (vms.empty()) {
+        return;
+    }
+    const common::steady_time list_requested_at = vms.begin()->second.list_requested_at;
     for (auto& [name, vm] : wave.vms) {
         const auto listed = vms.find(name);
         if (listed == vms.end()) {
-            if (vm.phase != vm_phase::finished && now - vm.since > missing_timeout) {
-                vm = {vm_phase::excluded, now, {}, false, false};
-            }
+            update_missing(vm, list_requested_at, now);
             continue;
         }
+        vm.missing_since.reset();
         const bool maintenance_over =
             now - vm.since >= this->options.maintenance_time &&
             listed->second.list_requested_at >
@@ -121,7 +134,7 @@
         }
         if (vm.phase == vm_phase::excluded ||
             (vm.phase == vm_phase::rejected && now >= vm.retry_at)) {
-            vm = {vm_phase::waiting, now, {}, false, false};
+            vm = {vm_phase::waiting, now, {}, false, false, {}};
         }
     }
 }
@@ -203,10 +216,11 @@
     vm_progress& progress = found->second.vms[vm];
     switch (outcome) {
     case order_outcome::accepted:
-        progress = {vm_phase::down, now, {}, false, false};
+        progress = {vm_phase::down, now, {}, false, false, {}};
         break;
     case order_outcome::permanently_rejected:
-        progress = {vm_phase::rejected, now, now + this->options.rejected_retry_delay, false, true};
+        progress = {
+            vm_phase::rejected, now, now + this->options.rejected_retry_delay, false, true, {}};
         break;
     case order_outcome::try_later:
         progress.phase = vm_phase::draining;
--- a/src/maintenance/wave_planner.h
+++ b/src/maintenance/wave_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -105,6 +106,8 @@
         common::steady_time retry_at;
         bool may_have_started = false; ///< an order got no response
         bool needs_undrain = false;    ///< is drained, but its order was rejected
+        /// When the first of the VM lists without it was requested.
+        std::optional<common::steady_time> missing_since;
     };
 
     struct wave_progress {
@@ -117,6 +120,8 @@
     };
 
     static void undrain_released(wave_progress& wave, std::vector<wave_step>& steps);
+    static void update_missing(vm_progress& vm, common::steady_time list_requested_at,
+                               common::steady_time now);
     void plan_wave(wave_progress& wave, const std::map<std::string, vm_snapshot>& vms,
                    common::steady_time now, std::vector<wave_step>& steps);
     void update_from_list(wave_progress& wave, const std::map<std::string, vm_snapshot>& vms,
