--- a/src/soak/fleet_world.cpp
+++ b/src/soak/fleet_world.cpp
@@ -246,6 +246,7 @@
     }
     if (this->random.chance(0.6)) {
         which.cut_until = this->now + 500 + static_cast<std::int64_t>(this->random.below(9000));
+        this->trace(which.runs.entry().instance.id, " is cut until ", which.cut_until);
         return;
     }
     this->crash_worker(which);
@@ -292,6 +293,7 @@
     if (const owner before = this->current) {
         this->at(this->now + static_cast<std::int64_t>(this->random.below(4000)),
                  [before] { before->gone = true; });
+        this->trace("owner ", made->token, " follows ", before->token, ", ", this->options.follow);
     }
     this->current = made;
     ++this->report.owners;
@@ -360,6 +362,9 @@
         const std::size_t lane = order->lane;
         which->writing[lane] = std::move(*order);
         this->write_journal(which, lane);
+    } else if (const auto* decided = std::get_if<scheduling::decision_record>(&what)) {
+        this->trace("owner ", which->token, " decides for ", decided->subject, ": ",
+                    decided->detail);
     }
 }
 
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <sstream>
 
 #include "common/random.h"
 #include "fakes/run_model.h"
@@ -38,6 +39,7 @@
     bool crashing_tasks = false;    ///< some tasks crash each worker that starts them
     bool changing_capacity = false; ///< workers' capacities shrink and grow
     fleet_fault fault = fleet_fault::none;
+    std::string follow; ///< events that name this job, task or worker are reported; empty: none
 
     friend bool operator==(const fleet_world_options&, const fleet_world_options&) = default;
 };
@@ -47,6 +49,7 @@
     std::map<std::string, std::uint64_t> checks;
     std::map<std::string, std::uint64_t> violations;
     std::vector<std::string> first_violations;
+    std::vector<std::string> followed;
     std::uint64_t starts = 0;
     std::uint64_t owners = 0;
     std::uint64_t jobs = 0;
@@ -113,6 +116,21 @@
     void advance_to(std::int64_t time);
     void check(const std::string& name, bool holds, const std::string& detail);
 
+    /// Reports an event if it is followed.
+    template <typename... Parts>
+    void trace(const Parts&... parts)
+    {
+        if (this->options.follow.empty()) {
+            return;
+        }
+        std::ostringstream line;
+        line << this->now << " ms: ";
+        (line << ... << parts);
+        if (line.str().find(this->options.follow) != std::string::npos) {
+            this->report.followed.push_back(line.str());
+        }
+    }
+
     void make_workers();
     void hand_in_job();
     void cancel_some_job();
--- a/src/soak/fleet_world_crashes.cpp
+++ b/src/soak/fleet_world_crashes.cpp
@@ -43,6 +43,7 @@
     for (const auto& [task, run] : which.runs.runs()) {
         ++this->jobs.at(task.job).crash_count[task];
     }
+    this->trace(which.runs.entry().instance.id, " crashes");
     which.alive = false;
     which.runs.crash();
     which.listed_until = this->now + registry_lag_ms;
@@ -51,6 +52,7 @@
         worker_model& reborn = this->worker_of(id);
         const std::int64_t born = reborn.runs.entry().instance.started_at_ms + this->now + 1;
         reborn.alive = true;
+        this->trace(id, " is back, started at ", born);
         reborn.runs.begin_life({id, born},
                                static_cast<std::int64_t>(this->random.below(100)) - this->now);
         if (this->current) {
--- a/src/soak/fleet_world_network.cpp
+++ b/src/soak/fleet_world_network.cpp
@@ -184,6 +184,11 @@
     if (!answered) {
         return;
     }
+        for (const scheduling::reported_run& each : seen.running) {
+            this->trace(order.worker.id, " reports ", each.task.to_string(), " run ", each.run,
+                        " to owner ", which->token, ", leases end at ",
+                        order.deadline_ms.value_or(0));
+        }
     this->at(this->now + 2, [this, which, order, sent, outcome, seen] {
         if (!which->gone) {
             which->scheduler->handle_poll_result({order.worker, steady(sent), outcome, seen},
@@ -227,7 +232,11 @@
     const jobs::step& step = this->jobs.at(order.task.job).job.steps.at(order.task.step);
     const fakes::run_request request{order.task,          order.run, order.deadline_ms,
                                      step.task_resources, {},        false};
-    return at.runs.start(order.worker, token, request, this->now);
+    const command_outcome outcome = at.runs.start(order.worker, token, request, this->now);
+    this->trace("start of ", order.task.to_string(), " run ", order.run, " by owner ", token,
+                ", sent at ", sent, " to ", order.worker.id, " started at ",
+                order.worker.started_at_ms, ": ", to_string(outcome));
+    return outcome;
 }
 
 void fleet_world::send_stop(const owner& which, const scheduling::stop_command& order)
@@ -250,7 +259,10 @@
     if (!this->reaches(at)) {
         return command_outcome::unknown;
     }
-    return at.runs.stop(order.worker, token, order.task, order.run);
+    const command_outcome outcome = at.runs.stop(order.worker, token, order.task, order.run);
+    this->trace("stop of ", order.task.to_string(), " run ", order.run, " by owner ", token, " on ",
+                order.worker.id, ": ", to_string(outcome));
+    return outcome;
 }
 
 } // namespace chervilslip::soak
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -56,13 +56,14 @@
     return report.violations == 0 ? 0 : 1;
 }
 
-int run_fleet(std::uint64_t seed, std::int64_t duration_ms, bool crashes)
+int run_fleet(std::uint64_t seed, std::int64_t duration_ms, bool crashes, std::string follow)
 {
     chervilslip::soak::fleet_world_options options;
     options.seed = seed;
     options.duration_ms = duration_ms;
     options.crashing_tasks = crashes;
     options.changing_capacity = crashes;
+    options.follow = std::move(follow);
     const auto report = chervilslip::soak::fleet_world(options).run();
     std::uint64_t checks = 0;
     std::uint64_t violations = 0;
@@ -77,6 +78,9 @@
     for (const std::string& line : report.first_violations) {
         std::cout << "  " << line << "\n";
     }
+    for (const std::string& line : report.followed) {
+        std::cout << "followed " << line << "\n";
+    }
     std::cout << "fleet soak: seed=" << seed << " jobs=" << report.jobs
               << " starts=" << report.starts << " owners=" << report.owners << " checks=" << checks
               << " violations=" << violations << std::endl;
@@ -99,9 +103,11 @@
         const TCLAP::ValueArg<std::string> plant("", "plant", "a planted fault", false, "none",
                                                  "NAME", arguments);
         const TCLAP::ValueArg<int> workers("", "workers", "workers", false, 24, "N", arguments);
-        const TCLAP::ValueArg<std::string> follow(
-            "", "follow", "print all events that name this request, node or worker", false, "",
-            "WORD", arguments);
+        const TCLAP::ValueArg<std::string> follow("", "follow",
+                                                  "print all events that name this request, node "
+                                                  "or worker, or with --fleet this job, task "
+                                                  "or worker",
+                                                  false, "", "WORD", arguments);
         const TCLAP::SwitchArg fleet("", "fleet", "run jobs over successive owners of the fleet",
                                      arguments);
         const TCLAP::SwitchArg crashes(
@@ -111,7 +117,8 @@
                                                      false, 60'000, "MS", arguments);
         arguments.parse(argc, argv);
         if (fleet.getValue()) {
-            return run_fleet(seed.getValue(), duration.getValue(), crashes.getValue());
+            return run_fleet(seed.getValue(), duration.getValue(), crashes.getValue(),
+                             follow.getValue());
         }
         const auto fault = planted_faults().find(plant.getValue());
         if (fault == planted_faults().end()) {
