Expect a start that is in flight on the next instance of its worker

Cause: the restart of a worker was taken as proof that a start of unknown fate had come to nothing. A start is in flight for up to 1.1 s: relays drop later ones, direct calls reset their connection. It is given up once a poll that was sent later than that does not list it, or its leases have run out; if it has arrived it simply goes on. Runs that had been confirmed are started again at once, as before. Tests: scheduler_recovery, a_start_that_reaches_the_next_instance_of_its_worker_is_not_made_twice fails with the wait taken out, passes now; a_start_that_can_no_longer_reach_a_restarted_worker_is_made_again and a_run_that_had_begun_is_started_again_at_once_when_its_worker_restarts guard the other side. A start of an earlier owner that is in flight when both the owner and the worker change within a second is still taken as lost.

--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -168,6 +168,10 @@
         std::int64_t load = 0;
         bool redundant = false; ///< an earlier run of the task has completed after all
         bool inherited = false; ///< an earlier owner started it, at a time that is not known
+        common::steady_time sent_at;
+        /// The start was sent to an earlier instance of the worker. It may reach this one until
+        /// then.
+        std::optional<common::steady_time> may_arrive_until;
     };
 
     struct step_count {
@@ -265,7 +269,10 @@
                                                   const worker_state& worker) const;
     void add_run_to(worker_state& worker, const jobs::task_id& task) const;
     void mark_runs_lost(worker_state& worker, worker_loss how, std::string_view why,
-                        common::steady_time now);
+                        common::steady_time now, const std::set<jobs::task_id>& kept = {});
+    [[nodiscard]] std::set<jobs::task_id> starts_in_flight(const worker_state& worker,
+                                                           common::steady_time now) const;
+    void expect_start(worker_state& worker, const jobs::task_id& task);
     void expire_workers(common::steady_time now);
     void withdraw_start(const active_job& job, const jobs::task_id& task, common::steady_time now);
     void request_stop(const jobs::task_id& task, open_run& run, common::steady_time now);
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -493,6 +493,7 @@
     worker->extend_leases(command.deadline_ms);
     run.phase = run_phase::sent;
     run.start_deadline_ms = command.deadline_ms;
+    run.sent_at = now;
     ++this->totals.starts;
     ++job.history.starts;
     job.history.started_ms = job.history.started_ms.value_or(this->last_unix_ms);
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -101,16 +101,23 @@
                 return; // outdated entry of an earlier instance
             }
         }
-        const std::set<jobs::task_id> kept = this->runs_on(entry.instance, known);
+        std::set<jobs::task_id> kept = this->runs_on(entry.instance, known);
         std::erase_if(known.runs, [&kept](const auto& each) { return kept.contains(each); });
+        const std::set<jobs::task_id> in_flight = this->starts_in_flight(known, now);
         if (!known.entry.instance.id.empty()) {
-            this->mark_runs_lost(known, loss_of_replaced(known, entry), "the worker restarted",
-                                 now);
+            this->mark_runs_lost(known, loss_of_replaced(known, entry), "the worker restarted", now,
+                                 in_flight);
         }
         const common::steady_time leases_end_by = known.leases_end_by;
         known = worker_state{};
+        known.entry.instance = entry.instance;
+        std::copy_if(in_flight.begin(), in_flight.end(), std::inserter(kept, kept.end()),
+                     [this](const jobs::task_id& each) { return this->open_runs.contains(each); });
         for (const jobs::task_id& task : kept) {
-            known.leases_end_by = leases_end_by;
+            known.leases_end_by = std::max(known.leases_end_by, leases_end_by);
+            if (in_flight.contains(task)) {
+                this->expect_start(known, task);
+            }
             this->add_run_to(known, task);
         }
         known.next_poll = now;
@@ -154,18 +161,53 @@
     }
 }
 
+std::set<jobs::task_id> scheduler::starts_in_flight(const worker_state& worker,
+                                                    common::steady_time now) const
+{
+    std::set<jobs::task_id> found;
+    std::copy_if(worker.runs.begin(), worker.runs.end(), std::inserter(found, found.end()),
+                 [&](const jobs::task_id& task) {
+                     const open_run& run = this->open_runs.at(task);
+                     return (run.phase == run_phase::sent || run.phase == run_phase::unanswered) &&
+                            now < run.may_arrive_until.value_or(run.sent_at + max_start_flight);
+                 });
+    return found;
+}
+
+/// A start names the worker's id only, so one that is in flight when the worker restarts begins on
+/// its next instance.
+void scheduler::expect_start(worker_state& worker, const jobs::task_id& task)
+{
+    open_run& run = this->open_runs.at(task);
+    active_job& job = this->jobs_by_id.at(task.job);
+    run.worker = worker.entry.instance;
+    run.phase = run_phase::unanswered;
+    run.may_arrive_until = run.may_arrive_until.value_or(run.sent_at + max_start_flight);
+    worker.leases_end_by =
+        std::max(worker.leases_end_by, *run.may_arrive_until + this->options.inherited_lease);
+    job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
+        .at(task.step)
+        .at(static_cast<std::size_t>(task.index))
+        .worker = run.worker;
+    this->mark_dirty(job);
+}
+
 void scheduler::mark_runs_lost(worker_state& worker, worker_loss how, std::string_view why,
-                               common::steady_time now)
+                               common::steady_time now, const std::set<jobs::task_id>& kept)
 {
     const std::set<jobs::task_id> runs = worker.runs;
     std::vector<lost_start> starting = this->starting_runs(worker);
     for (const jobs::task_id& task : runs) {
-        this->mark_run_lost(task, why);
+        if (!kept.contains(task)) {
+            this->mark_run_lost(task, why);
+        }
     }
     if (worker.entry.draining || worker.cordoned || how == worker_loss::planned) {
         return;
     }
     if (how == worker_loss::unexplained) {
+        std::erase_if(starting,
+                      [&kept](const lost_start& each) { return kept.contains(each.task); });
         this->note_unexplained(starting, 1);
         this->unexplained_losses.add(worker.entry, std::move(starting), now);
         return;
@@ -257,8 +299,13 @@
         return;
     }
     if (answer.outcome == command_outcome::other_instance) {
+        const std::set<jobs::task_id> in_flight = this->starts_in_flight(*worker, now);
         this->mark_runs_lost(*worker, worker_loss::unexplained,
-                             "another worker instance answers at its address", now);
+                             "another worker instance answers at its address", now, in_flight);
+        if (!in_flight.empty()) {
+            worker->leases_end_by = std::max(
+                worker->leases_end_by, now + max_start_flight + this->options.inherited_lease);
+        }
         this->schedule_poll(*worker, now + poll_retry_interval);
         ++worker->missed_polls;
         return;
@@ -386,8 +433,10 @@
         }
         const open_run& run = this->open_runs.at(task);
         const bool ended = run.phase == run_phase::running && answer.sent_at > run.confirmed_at;
-        const bool too_late =
-            run.phase == run_phase::unanswered && answer.report.clock_ms > run.start_deadline_ms;
+        const bool is_past_deadline = run.may_arrive_until
+                                          ? answer.sent_at > *run.may_arrive_until
+                                          : answer.report.clock_ms > run.start_deadline_ms;
+        const bool too_late = run.phase == run_phase::unanswered && is_past_deadline;
         // The worker has seen this owner's token, so it now rejects an earlier owner's start.
         const bool never_began = run.phase == run_phase::inherited;
         if (ended || too_late || never_began) {
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -555,4 +555,98 @@
     }
 }
 
+/// Restarts the worker "w1" under its id, and returns its new instance.
+worker_instance restart_worker(scheduler_fixture& fixture)
+{
+    worker_entry next = make_worker("w1");
+    next.instance.started_at_ms = 2;
+    std::vector<worker_entry> entries{next};
+    std::copy_if(fixture.listed.begin(), fixture.listed.end(), std::back_inserter(entries),
+                 [](const worker_entry& each) { return each.instance.id != "w1"; });
+    fixture.polls.clear();
+    fixture.under_test.update_workers(entries, fixture.now());
+    fixture.advance(fixture.now_ms + 20);
+    return next.instance;
+}
+
+void answer_poll_of(scheduler_fixture& fixture, const worker_instance& instance,
+                    std::vector<reported_run> running)
+{
+    worker_report report;
+    report.started_at_ms = instance.started_at_ms;
+    report.clock_ms = fixture.now_ms;
+    report.running = std::move(running);
+    fixture.polls.erase(instance.id);
+    fixture.under_test.handle_poll_result(
+        {instance, fixture.poll_sent_at[instance.id], command_outcome::accepted, report},
+        fixture.now());
+    fixture.advance(fixture.now_ms + 20);
+}
+
+Test(scheduler_recovery, a_start_that_reaches_the_next_instance_of_its_worker_is_not_made_twice)
+{
+    // given: a start without a response
+    scheduler_fixture fixture({make_worker("w1")});
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    const start_command start = fixture.starts.at(0);
+    fixture.advance(fixture.now_ms + 300);
+
+    // when: the worker restarts, and a poll is answered before the start arrives
+    const worker_instance next = restart_worker(fixture);
+    answer_poll_of(fixture, next, {});
+    fixture.advance(fixture.now_ms + 200);
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+
+    // when: it has arrived
+    answer_poll_of(fixture, next, {scheduler_fixture::running(start)});
+    fixture.advance(fixture.now_ms + 2000);
+    answer_poll_of(fixture, next, {scheduler_fixture::running(start)});
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+}
+
+Test(scheduler_recovery, a_start_that_can_no_longer_reach_a_restarted_worker_is_made_again)
+{
+    // given
+    scheduler_fixture fixture({make_worker("w1")});
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    fixture.advance(fixture.now_ms + 300);
+    const worker_instance next = restart_worker(fixture);
+    answer_poll_of(fixture, next, {});
+
+    // when
+    fixture.advance(fixture.now_ms + 1500);
+    answer_poll_of(fixture, next, {});
+    fixture.advance(fixture.now_ms + 500);
+    answer_poll_of(fixture, next, {});
+    fixture.advance(fixture.now_ms + 200);
+
+    // then
+    cr_assert(fixture.starts.size() == 2);
+    cr_assert(fixture.starts.back().run == 2);
+}
+
+Test(scheduler_recovery, a_run_that_had_begun_is_started_again_at_once_when_its_worker_restarts)
+{
+    // given
+    scheduler_fixture fixture;
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    const start_command start = fixture.starts.at(0);
+    fixture.answer_start(start, command_outcome::accepted);
+
+    // when
+    cr_assert(start.worker.id == "w1");
+    restart_worker(fixture);
+    fixture.advance(fixture.now_ms + 200);
+
+    // then
+    cr_assert(fixture.starts.size() == 2);
+}
+
 } // namespace
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -9,6 +9,10 @@
 
 namespace chervilslip::scheduling {
 
+/// A start is in flight for at most this long: relays drop those that were held up, and a direct
+/// call that is given up resets its connection.
+inline constexpr common::milliseconds max_start_flight{1100};
+
 /// An ended run that a worker has reported. It must be durable before it is acknowledged.
 struct pending_end {
     std::int64_t number = 0;
