Store a redundant run, so that the next owner counts and stops it

A team could have more at work than its limit (QUOTA) after a change of the owner. Cause: a redundant run was kept in the owner's memory alone. The next owner counts the run, stops it and closes the job after its end. Tests: scheduler_takeover, a_redundant_run_of_an_earlier_owner_counts_until_it_has_ended, fails with the reading taken out, passes now; progress, a_redundant_run_is_stored_where_earlier_versions_do_not_read.

--- a/src/scheduling/progress.cpp
+++ b/src/scheduling/progress.cpp
@@ -15,10 +15,13 @@
 constexpr std::size_t fields_of_waiting_task = 3;
 constexpr std::size_t fields_of_open_task = 5;
 
-// What is known of starts that may crash the worker follows in a list of its own, which earlier
-// versions neither write nor read.
+// What is known of starts that may crash the worker follows in a list of its own, and redundant
+// runs in another one. Earlier versions neither write nor read them.
 constexpr std::size_t fields_of_progress = 3;
+constexpr std::size_t fields_with_start_records = 4;
+constexpr std::size_t fields_with_redundant_runs = 5;
 constexpr std::size_t fields_of_start_record = 6;
+constexpr std::size_t fields_of_redundant_run = 6;
 
 struct start_record {
     std::size_t occurrence = 0;
@@ -48,6 +51,33 @@
     return records;
 }
 
+/// A task with a redundant run.
+struct redundant_run {
+    std::size_t occurrence = 0;
+    std::size_t step = 0;
+    std::size_t index = 0;
+    std::int64_t run = 0;
+    worker_instance worker;
+
+    friend bool operator==(const redundant_run&, const redundant_run&) = default;
+};
+
+std::vector<redundant_run> redundant_runs(const job_progress& value)
+{
+    std::vector<redundant_run> runs;
+    for (std::size_t k = 0; k < value.tasks.size(); ++k) {
+        for (std::size_t s = 0; s < value.tasks[k].size(); ++s) {
+            for (std::size_t i = 0; i < value.tasks[k][s].size(); ++i) {
+                const task_progress& task = value.tasks[k][s][i];
+                if (task.has_redundant_run()) {
+                    runs.push_back({k, s, i, task.run, task.worker});
+                }
+            }
+        }
+    }
+    return runs;
+}
+
 void write_task(msgpack_writer& to, const task_progress& value)
 {
     if (value.state == task_progress::phase::done) {
@@ -106,7 +136,10 @@
     std::string bytes;
     msgpack_writer to(bytes);
     const std::vector<start_record> records = start_records(value);
-    to.array(records.empty() ? fields_of_progress : fields_of_progress + 1)
+    const std::vector<redundant_run> redundant = redundant_runs(value);
+    to.array(!redundant.empty() ? fields_with_redundant_runs
+             : !records.empty() ? fields_with_start_records
+                                : fields_of_progress)
         .add(static_cast<int>(value.state))
         .add(value.ended_ms)
         .array(value.tasks.size());
@@ -119,7 +152,7 @@
             }
         }
     }
-    if (!records.empty()) {
+    if (!records.empty() || !redundant.empty()) {
         to.array(records.size());
     }
     for (const start_record& each : records) {
@@ -131,6 +164,18 @@
             .add(each.certain_crashes)
             .add(each.survived);
     }
+    if (!redundant.empty()) {
+        to.array(redundant.size());
+    }
+    for (const redundant_run& each : redundant) {
+        to.array(fields_of_redundant_run)
+            .add(each.occurrence)
+            .add(each.step)
+            .add(each.index)
+            .add(each.run)
+            .add(each.worker.id)
+            .add(each.worker.started_at_ms);
+    }
     return bytes;
 }
 
@@ -149,17 +194,29 @@
                         [&step](const msgpack::object& each) { step.push_back(read_task(each)); });
                 });
             });
-            if (row.size() > fields_of_progress) {
-                row.row(fields_of_progress).for_each([&value](const msgpack::object& each) {
+            const auto task_of = [&value](const msgpack_row& record) -> task_progress& {
+                return value.tasks.at(record.get<std::size_t>(0))
+                    .at(record.get<std::size_t>(1))
+                    .at(record.get<std::size_t>(2));
+            };
+            if (row.size() >= fields_with_start_records) {
+                row.row(fields_of_progress).for_each([&task_of](const msgpack::object& each) {
                     const msgpack_row record(each);
-                    task_progress& task = value.tasks.at(record.get<std::size_t>(0))
-                                              .at(record.get<std::size_t>(1))
-                                              .at(record.get<std::size_t>(2));
+                    task_progress& task = task_of(record);
                     task.crashes = record.get<std::int64_t>(3);
                     task.certain_crashes = record.get<std::int64_t>(4);
                     task.survived = record.get<bool>(5);
                 });
             }
+            if (row.size() >= fields_with_redundant_runs) {
+                row.row(fields_with_start_records)
+                    .for_each([&task_of](const msgpack::object& each) {
+                        const msgpack_row record(each);
+                        task_progress& task = task_of(record);
+                        task.run = record.get<std::int64_t>(3);
+                        task.worker = {record.get<std::string>(4), record.get<std::int64_t>(5)};
+                    });
+            }
             return value;
         });
 }
--- a/src/scheduling/progress.h
+++ b/src/scheduling/progress.h
@@ -5,13 +5,15 @@
 
 namespace chervilslip::scheduling {
 
-/// Progress of one task. `open` means that a run may exist on `worker`.
+/// Progress of one task. `open` means that a run may exist on `worker`. One may also exist for a
+/// task that is `done` and has a worker: an earlier run has completed after all, so it is
+/// redundant.
 struct task_progress {
     enum class phase { waiting, open, done };
     phase state = phase::waiting;
     std::int64_t run = 0;      ///< highest run number used so far
     std::int64_t failures = 0; ///< runs that ended `failed`
-    worker_instance worker;    ///< of the open run
+    worker_instance worker;    ///< of the open or redundant run
     std::string checkpoint;    ///< latest known; empty: none
     std::int64_t crashes = 0;  ///< workers that crashed while starting it; 0 once it survives
     std::int64_t certain_crashes = 0; ///< of these, under runs that had surely begun
@@ -20,6 +22,11 @@
     std::int64_t unexplained_losses = 0;
     bool survived = false; ///< the open run of a long-running task has survived its start
 
+    [[nodiscard]] bool has_redundant_run() const
+    {
+        return this->state == phase::done && !this->worker.id.empty();
+    }
+
     friend bool operator==(const task_progress&, const task_progress&) = default;
 };
 
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -44,7 +44,9 @@
             step_count& counts = step_counts.emplace_back();
             for (const task_progress& each : tasks) {
                 counts.waiting += each.state == task_progress::phase::waiting ? 1 : 0;
-                counts.open += each.state == task_progress::phase::open ? 1 : 0;
+                const bool may_run =
+                    each.state == task_progress::phase::open || each.has_redundant_run();
+                counts.open += may_run ? 1 : 0;
                 counts.done += each.state == task_progress::phase::done ? 1 : 0;
             }
         }
@@ -64,16 +66,17 @@
         for (std::size_t s = 0; s < job.progress.tasks[k].size(); ++s) {
             for (std::size_t i = 0; i < job.progress.tasks[k][s].size(); ++i) {
                 const task_progress& task = job.progress.tasks[k][s][i];
-                if (task.state != task_progress::phase::open) {
-                    continue;
-                }
                 const jobs::task_id name{id, static_cast<std::int64_t>(k), s,
                                          static_cast<std::int64_t>(i)};
+                if (task.state != task_progress::phase::open && !task.has_redundant_run()) {
+                    continue;
+                }
                 open_run run;
                 run.worker = task.worker;
                 run.run = task.run;
                 run.phase = run_phase::inherited;
                 run.inherited = true;
+                run.redundant = task.has_redundant_run();
                 run.planned_at = now;
                 this->open_runs[name] = run;
                 this->team_usage[job.spec.team] += footprint(job.spec.steps[s]);
@@ -296,7 +299,10 @@
         job.progress.tasks.at(occurrence).at(task.step).at(static_cast<std::size_t>(task.index));
     progress = {};
     progress.state = task_progress::phase::done;
-    // The redundant run occupies capacity until it has ended, so it stays open.
+    // The redundant run occupies capacity until it has ended, so it stays open, also for a later
+    // owner.
+    progress.run = redundant_run.run;
+    progress.worker = redundant_run.worker;
     ++job.counts.at(occurrence).at(task.step).done;
     redundant_run.redundant = true;
     this->request_stop(task, redundant_run, now);
@@ -307,7 +313,12 @@
 void scheduler::close_redundant_run(active_job& job, const jobs::task_id& task)
 {
     this->close_run(task);
-    --job.counts.at(static_cast<std::size_t>(task.occurrence)).at(task.step).open;
+    const auto occurrence = static_cast<std::size_t>(task.occurrence);
+    --job.counts.at(occurrence).at(task.step).open;
+    task_progress& progress =
+        job.progress.tasks.at(occurrence).at(task.step).at(static_cast<std::size_t>(task.index));
+    progress = {};
+    progress.state = task_progress::phase::done;
     this->mark_dirty(job);
 }
 
--- a/src/scheduling/tests/progress_tests.cpp
+++ b/src/scheduling/tests/progress_tests.cpp
@@ -50,6 +50,26 @@
     cr_assert_eq(earlier.value().tasks[0][1][1].crashes, 0);
 }
 
+Test(progress, a_redundant_run_is_stored_where_earlier_versions_do_not_read)
+{
+    // given
+    jobs::job job;
+    job.steps.resize(1);
+    job.steps[0].count = 2;
+    job_progress value = initial_progress(job);
+    value.tasks[0][0][1].state = task_progress::phase::done;
+    value.tasks[0][0][1].run = 3;
+    value.tasks[0][0][1].worker = {"w-1", 77};
+
+    // when
+    const auto read = decode_progress(encode_progress(value), "store");
+
+    // then
+    cr_assert(read.has_value());
+    cr_assert(read.value() == value);
+    cr_assert(read.value().tasks[0][0][1].has_redundant_run());
+}
+
 Test(progress, malformed_input_is_an_error)
 {
     // given, when
--- a/src/scheduling/tests/scheduler_takeover_tests.cpp
+++ b/src/scheduling/tests/scheduler_takeover_tests.cpp
@@ -37,4 +37,39 @@
     cr_assert(fixture.starts[0].task.index == 0);
 }
 
+Test(scheduler_takeover, a_redundant_run_of_an_earlier_owner_counts_until_it_has_ended)
+{
+    // given: the first task is done, but its second run is still at work; the limit allows one run
+    const jobs::job job = make_job("j1", 2);
+    job_progress progress = initial_progress(job);
+    progress.tasks[0][0][0].state = task_progress::phase::done;
+    progress.tasks[0][0][0].run = 2;
+    progress.tasks[0][0][0].worker = {"w1", 1};
+    scheduler_fixture fixture({make_worker("w1"), make_worker("w2")}, {{job, progress}});
+    policy rules;
+    rules.version = 2;
+    rules.queues["permits"] = job.policy;
+    rules.teams["fire"] = {1.0, {1000, 0, 0, 0}};
+    fixture.under_test.configure(rules);
+
+    // when
+    fixture.answer_poll("w2");
+    const reported_run redundant{{"j1", 0, 0, 0}, 2, {}, 100, 0};
+    fixture.answer_poll("w1", {redundant});
+    fixture.advance(fixture.now_ms + 200);
+
+    // then
+    cr_assert(fixture.starts.empty());
+    cr_assert(fixture.stops.size() == 1);
+    cr_assert(fixture.stops.front().run == 2);
+
+    // when
+    fixture.answer_poll("w1", {}, {{1, redundant.task, 2, end_cause::stopped, {}}});
+    fixture.advance(fixture.now_ms + 200);
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.starts.front().task.index == 1);
+}
+
 } // namespace
