Charge a failure to the task once it has failed on two workers

Cause: three failures in a row put a worker on probation, whoever was at fault, and any share of a pool could be on probation, with room for one short task a worker. Change: a failure is charged to the worker until its task fails on another one; then it is the task's, and what it had charged is taken back. Of a pool's usable workers at most a third, and always one, are on probation, those with the most failures first. Tests: scheduler, tasks_that_fail_on_several_workers_put_none_of_these_on_probation, and dispatch_round, a_pool_whose_workers_all_fail_keeps_two_thirds_of_its_room, each fail with their change taken out, pass now. Conclusion: a pool keeps two thirds of its room whatever its jobs do.

--- a/src/scheduling/dispatch_round.cpp
+++ b/src/scheduling/dispatch_round.cpp
@@ -6,6 +6,38 @@
 
 namespace chervilslip::scheduling {
 
+namespace {
+
+/// A worker with this many consecutive failures is put on probation.
+constexpr std::int64_t probation_failures = 3;
+
+/// Of the usable workers of a pool, one in this many may be on probation, and always one. If more
+/// of them fail, the tasks are at fault.
+constexpr std::size_t workers_per_probation = 3;
+
+void choose_probation(const std::vector<worker_state*>& usable)
+{
+    std::vector<worker_state*> failing;
+    for (worker_state* each : usable) {
+        each->on_probation = false;
+        if (each->consecutive_failures >= probation_failures) {
+            failing.push_back(each);
+        }
+    }
+    std::sort(failing.begin(), failing.end(),
+              [](const worker_state* left, const worker_state* right) {
+                  return left->consecutive_failures != right->consecutive_failures
+                             ? left->consecutive_failures > right->consecutive_failures
+                             : left->entry.instance.id < right->entry.instance.id;
+              });
+    const std::size_t allowed = std::max<std::size_t>(usable.size() / workers_per_probation, 1);
+    for (std::size_t i = 0; i < std::min(failing.size(), allowed); ++i) {
+        failing[i]->on_probation = true;
+    }
+}
+
+} // namespace
+
 dispatch_round::dispatch_round(const pool_index& all_workers, common::steady_time now)
     : workers(all_workers), begun_at(now)
 {
@@ -22,6 +54,7 @@
                 found->second.begin(), found->second.end(), std::back_inserter(*usable),
                 [this](const worker_state* each) { return is_usable(*each, this->begun_at); });
         }
+        choose_probation(*usable);
     }
     return *usable;
 }
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -4,10 +4,6 @@
 
 namespace {
 
-/// A worker with this many consecutive failures gets one task at a time, beside those that last,
-/// until one succeeds.
-constexpr std::int64_t probation_failures = 3;
-
 constexpr double remote_data_cost = 100.0;
 constexpr double shared_rack_cost = 10.0;
 constexpr double unproven_cost = 5.0;
@@ -63,12 +59,11 @@
     if (request.tickets != nullptr && !request.tickets->contains(entry.instance.id)) {
         return std::nullopt;
     }
-    const bool on_probation = worker.consecutive_failures >= probation_failures;
     // Limited in time: if the last run failed on every worker, a retry would never be placed.
     const bool failed_recently =
         worker.consecutive_failures > 0 && now - worker.last_failure < retry_exclusion_time;
     const bool is_tried = worker.runs.size() > worker.lasting_runs;
-    if ((on_probation && is_tried) || (request.retried && failed_recently)) {
+    if ((worker.on_probation && is_tried) || (request.retried && failed_recently)) {
         return std::nullopt;
     }
     // Best fit: prefers the fullest VM, so that others become idle and can be moved to another
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -196,6 +196,12 @@
         std::string failure;                    ///< why it failed; empty: attempts exhausted
     };
 
+    /// Failures of a task that are charged to a worker.
+    struct charged_failures {
+        std::string worker; ///< empty: the task itself is at fault
+        std::int64_t count = 0;
+    };
+
     struct active_job {
         jobs::job spec;
         job_history history;
@@ -212,6 +218,7 @@
         std::vector<std::vector<step_count>> counts; ///< by occurrence and step
         bool final_is_durable = false;
         std::map<std::pair<std::int64_t, jobs::step_index>, ticket_cache> advice;
+        std::map<jobs::task_id, charged_failures> failures_by_task;
     };
 
     /// Dispatch order of a job; the lowest rank is dispatched first.
@@ -228,6 +235,7 @@
     void add_job(stored_job&& stored, common::steady_time now);
     void count_tasks(active_job& job);
     void complete_task(active_job& job, const jobs::task_id& task);
+    void charge_failure(active_job& job, const jobs::task_id& task, worker_state& worker);
     void requeue_task(active_job& job, const jobs::task_id& task);
     void finish_job(active_job& job, jobs::job_state state, common::steady_time now);
     void stop_all_runs(active_job& job, common::steady_time now);
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -237,19 +237,40 @@
     if (finished.cause == end_cause::done) {
         worker.consecutive_failures = 0;
         worker.last_success = now;
+        job->failures_by_task.erase(finished.task);
         const auto run_time =
             std::chrono::duration_cast<common::milliseconds>(now - run->second.confirmed_at);
         if (run->second.phase == run_phase::running && finished.checkpoint.empty()) {
             this->durations.add(job->spec.queue, run_time);
         }
     } else if (finished.cause == end_cause::failed) {
-        ++worker.consecutive_failures;
+        this->charge_failure(*job, finished.task, worker);
         worker.last_failure = now;
     }
     this->end_run(*job, finished.task, finished.cause, finished.checkpoint, now);
     this->add_pending_end(worker, finished, false);
 }
 
+/// Charges a failure to the worker, until the task fails on another worker as well: then it is the
+/// task's fault.
+void scheduler::charge_failure(active_job& job, const jobs::task_id& task, worker_state& worker)
+{
+    const std::string& id = worker.entry.instance.id;
+    charged_failures& charged =
+        job.failures_by_task.try_emplace(task, charged_failures{id, 0}).first->second;
+    if (charged.worker == id) {
+        ++charged.count;
+        ++worker.consecutive_failures;
+        return;
+    }
+    const auto earlier = this->workers.find(charged.worker);
+    if (earlier != this->workers.end()) {
+        earlier->second.consecutive_failures =
+            std::max<std::int64_t>(earlier->second.consecutive_failures - charged.count, 0);
+    }
+    charged = {};
+}
+
 void scheduler::add_pending_end(worker_state& worker, const finished_run& finished, bool durable)
 {
     worker.pending_ends.push_back({finished.number, finished.task.job, 0, durable});
--- a/src/scheduling/tests/dispatch_round_tests.cpp
+++ b/src/scheduling/tests/dispatch_round_tests.cpp
@@ -29,6 +29,30 @@
     cr_assert(round.usable_in("none").empty());
 }
 
+Test(dispatch_round, a_pool_whose_workers_all_fail_keeps_two_thirds_of_its_room)
+{
+    // given
+    worker_map workers;
+    pool_index pools;
+    for (const std::string id : {"w1", "w2", "w3", "w4", "w5", "w6"}) {
+        workers[id].entry = make_worker(id);
+        workers[id].token_seen = true;
+        workers[id].consecutive_failures = id == "w5" ? 7 : 3;
+        pools["main"].push_back(&workers[id]);
+    }
+
+    // when
+    dispatch_round round(pools, time_at(0));
+    const auto& usable = round.usable_in("main");
+
+    // then
+    cr_assert(usable.size() == workers.size());
+    const auto on_probation = std::count_if(
+        workers.begin(), workers.end(), [](const auto& each) { return each.second.on_probation; });
+    cr_assert(on_probation == 2);
+    cr_assert(workers["w5"].on_probation);
+}
+
 Test(dispatch_round, a_size_that_fits_nowhere_excludes_all_larger_sizes)
 {
     // given
--- a/src/scheduling/tests/scheduler_tests.cpp
+++ b/src/scheduling/tests/scheduler_tests.cpp
@@ -324,6 +324,37 @@
     cr_assert(fixture.starts.size() == starts_before + 1, "%zu", fixture.starts.size());
 }
 
+Test(scheduler, tasks_that_fail_on_several_workers_put_none_of_these_on_probation)
+{
+    // given
+    scheduler_fixture fixture;
+    fixture.answer_first_polls();
+    std::map<std::string, std::int64_t> ends;
+    const auto fail = [&fixture, &ends](const start_command& start) {
+        fixture.answer_start(start, command_outcome::accepted);
+        fixture.now_ms += 100;
+        fixture.answer_poll(start.worker.id, {},
+                            {make_finished_run(++ends[start.worker.id], start, end_cause::failed)});
+        fixture.advance(fixture.now_ms + 500);
+    };
+
+    // when: hopeless jobs fail on one worker, then on the other
+    for (const char* id : {"j1", "j2", "j3", "j4"}) {
+        fixture.submit_job(make_job(id));
+        const start_command first = fixture.starts.back();
+        fail(first);
+        const start_command second = fixture.starts.back();
+        cr_assert(second.task == first.task && second.worker != first.worker);
+        fail(second);
+    }
+
+    // then
+    for (const auto& [id, worker] : fixture.under_test.all_workers()) {
+        cr_assert(worker.consecutive_failures == 0, "%s", id.c_str());
+    }
+    cr_assert(fixture.under_test.counters().jobs_failed == 4);
+}
+
 Test(scheduler, a_timed_job_starts_no_occurrence_early)
 {
     // given
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -58,7 +58,11 @@
     std::optional<jobs::task_id> isolated_task;
     common::steady_time isolated_since;
 
-    std::int64_t consecutive_failures = 0; ///< runs that ended `failed` since the last `done`
+    /// Runs that ended `failed` since the last `done`, except by the fault of their tasks.
+    std::int64_t consecutive_failures = 0;
+    /// Gets one task at a time, beside those that last, until one succeeds. Set by each round of
+    /// dispatch.
+    bool on_probation = false;
     common::steady_time last_success;
     common::steady_time last_failure;
     common::steady_time blocked_until; ///< gets no new tasks before this time
