Give up no long-running job for the crashes of its workers

Cause: a crash counted as evidence against the task, whatever the rest of the fleet did and whoever had started the run; the whole job paid for one task. Change: only the task of a long-running job is held back, for 2 and 4 s after three and four crashes and from a minute to ten from the fifth on; the others serve on, the job is not given up. Crashes under runs that an earlier owner started do not count for such a task, since their age is not known. A third certain crash does not give a job up while workers that were starting no known suspect crash often enough to explain it; a fourth does. Tests: crashing_tasks, long_running_task_whose_workers_crash_by_chance_stops_none_of_its_job and long_running_task_that_crashes_each_worker_is_held_back_and_its_job_goes_on fail with the giving up put back.

--- a/src/scheduling/crash_ledger.cpp
+++ b/src/scheduling/crash_ledger.cpp
@@ -1,14 +1,67 @@
 #include "scheduling/crash_ledger.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace chervilslip::scheduling {
 
 namespace {
 
+/// Crashes count towards the rate for this long.
+constexpr common::milliseconds rate_window{15'000};
+
+/// A series of crashes that is less likely than this is not chance.
+constexpr double significance = 1e-4;
+
+constexpr common::milliseconds first_delay{2000};
+constexpr common::milliseconds first_long_delay{60'000};
+constexpr common::milliseconds max_delay{600'000};
+
 /// An instance that has been lost for this long is no longer expected back.
 constexpr common::milliseconds loss_retention{30'000};
 
 } // namespace
 
+common::milliseconds delay_after_crash(std::int64_t crashes)
+{
+    const bool is_long = crashes >= max_crashes;
+    common::milliseconds delay = is_long ? first_long_delay : first_delay;
+    for (auto i = is_long ? max_crashes : max_certain_crashes; i < crashes && delay < max_delay;
+         ++i) {
+        delay *= 2;
+    }
+    return std::min(delay, max_delay);
+}
+
+void crash_rate::add(const std::vector<lost_start>& starting, common::steady_time now)
+{
+    crash& added = this->crashes.emplace_back();
+    added.at = now;
+    for (const lost_start& each : starting) {
+        added.starting.push_back(each.task);
+    }
+    while (now - this->crashes.front().at > rate_window) {
+        this->crashes.pop_front();
+    }
+}
+
+bool crash_rate::explains(const jobs::task_id& task, std::int64_t task_crashes, std::size_t workers,
+                          common::steady_time now) const
+{
+    const auto others =
+        std::count_if(this->crashes.begin(), this->crashes.end(), [&](const crash& each) {
+            return now - each.at <= rate_window &&
+                   std::find(each.starting.begin(), each.starting.end(), task) ==
+                       each.starting.end();
+        });
+    const double windows = std::chrono::duration<double>(start_survival_time) /
+                           std::chrono::duration<double>(rate_window);
+    const double crashes_in_start = windows * static_cast<double>(others) /
+                                    static_cast<double>(std::max<std::size_t>(workers, 1));
+    const double chance = 1.0 - std::exp(-crashes_in_start);
+    return std::pow(chance, static_cast<double>(task_crashes)) >= significance;
+}
+
 worker_loss loss_of_replaced(const worker_state& lost, const worker_entry& successor)
 {
     // The pool is unknown if only the journal names the instance.
--- a/src/scheduling/crash_ledger.h
+++ b/src/scheduling/crash_ledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -16,6 +17,11 @@
 /// A task under which this many workers have crashed is started in isolation only.
 inline constexpr std::int64_t isolation_crashes = 2;
 
+/// A long-running task whose starts have crashed that often is not given up, because the other
+/// tasks of its job serve on. It is started again after a delay that grows with each further crash,
+/// and is much longer after `max_crashes`.
+common::milliseconds delay_after_crash(std::int64_t crashes);
+
 /// A run that has been at work for this long has survived its start.
 inline constexpr common::milliseconds start_survival_time{2000};
 
@@ -35,10 +41,33 @@
     jobs::task_id task;
     /// The worker has accepted the start from this owner, so the run had surely just begun.
     bool begun = false;
+    bool inherited = false; ///< an earlier owner started it, at a time that is not known
 
     friend bool operator==(const lost_start&, const lost_start&) = default;
 };
 
+/// Recent crashes of workers, as evidence that a task's crashes have another cause than the task.
+/// Not thread safe.
+class crash_rate {
+public:
+    /// Records a crash, with the tasks that were starting on the worker. Precondition: none of them
+    /// is known to crash workers.
+    void add(const std::vector<lost_start>& starting, common::steady_time now);
+
+    /// Returns whether workers that were not starting the task crash often enough for `crashes`
+    /// crashes in a row within its starts to be chance.
+    [[nodiscard]] bool explains(const jobs::task_id& task, std::int64_t crashes,
+                                std::size_t workers, common::steady_time now) const;
+
+private:
+    struct crash {
+        common::steady_time at;
+        std::vector<jobs::task_id> starting;
+    };
+
+    std::deque<crash> crashes; ///< oldest first
+};
+
 /// Runs that were lost for an unexplained reason, until their worker instance is found to be alive
 /// or to have been replaced. Not thread safe.
 class crash_ledger {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -273,6 +273,8 @@
                            common::steady_time now);
     void reconcile_missing(worker_state& worker, const poll_result& answer);
     void throttle_best_effort_runs(worker_state& worker, common::steady_time now);
+    void note_crash(const worker_state& lost, const worker_entry& successor,
+                    const std::vector<lost_start>& explained, common::steady_time now);
     [[nodiscard]] std::set<jobs::task_id> runs_on(const worker_instance& instance,
                                                   const worker_state& worker) const;
     void add_run_to(worker_state& worker, const jobs::task_id& task) const;
@@ -293,6 +295,8 @@
     [[nodiscard]] std::int64_t suspicion_of(const active_job& job, const jobs::task_id& task) const;
     void count_crash(const lost_start& lost, common::steady_time now);
     void give_up_if_crashing(active_job& job, common::steady_time now);
+    void hold_back_if_crashing(const active_job& job, const jobs::task_id& task,
+                               common::steady_time now);
     void note_unexplained(const std::vector<lost_start>& starts, std::int64_t change);
     void clear_if_survived(worker_state& worker, active_job& job, const jobs::task_id& task);
     bool is_suspect_startable(const active_job& job, const jobs::task_id& task,
@@ -369,6 +373,9 @@
     duration_estimator durations;
     best_effort_throttle throttle;
     crash_ledger unexplained_losses;
+    crash_rate recent_crashes;
+    /// Long-running tasks that are not to be started before a time, because they crash workers.
+    std::map<jobs::task_id, common::steady_time> held_back_until;
     std::map<jobs::task_id, std::string> holds; ///< worker that is held for a task's isolated start
     scheduler_counters totals;
     bool dispatch_due = true;
--- a/src/scheduling/scheduler_crashes.cpp
+++ b/src/scheduling/scheduler_crashes.cpp
@@ -40,9 +40,11 @@
 
 std::vector<lost_start> scheduler::starting_runs(const worker_state& worker) const
 {
-    const auto is_unanswered = [this](const jobs::task_id& task) {
-        const run_phase phase = this->open_runs.at(task).phase;
-        return phase == run_phase::sent || phase == run_phase::unanswered;
+    // A response that came after the start shows that the worker was not lost at it.
+    const auto is_unanswered = [this, &worker](const jobs::task_id& task) {
+        const open_run& run = this->open_runs.at(task);
+        return (run.phase == run_phase::sent || run.phase == run_phase::unanswered) &&
+               run.sent_at >= worker.last_response_at;
     };
     std::int64_t first_deadline = std::numeric_limits<std::int64_t>::max();
     for (const jobs::task_id& task : worker.runs) {
@@ -60,7 +62,9 @@
         if (!was_gone && this->is_starting(worker, task)) {
             // An inherited run may have survived its start under an earlier owner.
             const open_run& run = this->open_runs.at(task);
-            starting.push_back({task, run.phase == run_phase::running && !run.inherited});
+            const bool has_begun =
+                run.phase == run_phase::running && !run.inherited && !run.stop_sent;
+            starting.push_back({task, has_begun, run.inherited});
         }
     }
     return starting;
@@ -88,8 +92,12 @@
     if (progress.state == task_progress::phase::done) {
         return;
     }
+    if (lost.inherited && job->spec.steps.at(task.step).long_running) {
+        return; // it may have run for any time under earlier owners
+    }
     ++progress.crashes;
     progress.certain_crashes += lost.begun ? 1 : 0;
+    this->hold_back_if_crashing(*job, task, now);
     const auto run = this->open_runs.find(task);
     if (run != this->open_runs.end()) {
         this->workers.at(run->second.worker.id).suspects.insert(task);
@@ -107,14 +115,18 @@
         for (std::size_t s = 0; s < job.progress.tasks[k].size(); ++s) {
             for (std::size_t i = 0; i < job.progress.tasks[k][s].size(); ++i) {
                 const task_progress& task = job.progress.tasks[k][s][i];
+                const jobs::task_id name{job.spec.id, static_cast<std::int64_t>(k), s,
+                                         static_cast<std::int64_t>(i)};
                 // A start that was not answered may not have reached the worker before it crashed.
-                const bool crashes =
-                    task.certain_crashes >= max_certain_crashes || task.crashes >= max_crashes;
-                if (!crashes || jobs::is_final(job.progress.state)) {
+                const bool crashes = task.crashes >= max_crashes ||
+                                     (task.certain_crashes >= max_certain_crashes &&
+                                      (task.crashes > max_certain_crashes ||
+                                       !this->recent_crashes.explains(name, task.crashes,
+                                                                      this->workers.size(), now)));
+                if (!crashes || job.spec.steps[s].long_running ||
+                    jobs::is_final(job.progress.state)) {
                     continue;
                 }
-                const jobs::task_id name{job.spec.id, static_cast<std::int64_t>(k), s,
-                                         static_cast<std::int64_t>(i)};
                 job.history.failure = std::to_string(task.crashes) +
                                       " workers crashed while starting task " + name.to_string();
                 this->finish_job(job, jobs::job_state::failed, now);
@@ -123,6 +135,26 @@
     }
 }
 
+void scheduler::hold_back_if_crashing(const active_job& job, const jobs::task_id& task,
+                                      common::steady_time now)
+{
+    const task_progress& progress = job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
+                                        .at(task.step)
+                                        .at(static_cast<std::size_t>(task.index));
+    const bool crashes =
+        progress.crashes >= max_crashes || progress.certain_crashes >= max_certain_crashes;
+    if (!job.spec.steps.at(task.step).long_running || !crashes ||
+        this->recent_crashes.explains(task, progress.crashes, this->workers.size(), now)) {
+        return;
+    }
+    const common::milliseconds delay = delay_after_crash(progress.crashes);
+    this->held_back_until[task] = now + delay;
+    this->record(decision_record::kind::task_lost, task.to_string(),
+                 std::to_string(progress.crashes) +
+                     " workers crashed while starting it, held back for " +
+                     std::to_string(delay.count()) + " ms");
+}
+
 void scheduler::note_unexplained(const std::vector<lost_start>& starts, std::int64_t change)
 {
     for (const lost_start& each : starts) {
@@ -152,6 +184,7 @@
     }
     worker.suspects.erase(task);
     this->release_hold(task);
+    this->held_back_until.erase(task);
     progress.crashes = 0;
     progress.certain_crashes = 0;
     // The next owner does not know how long a task has run.
@@ -162,6 +195,10 @@
 bool scheduler::is_suspect_startable(const active_job& job, const jobs::task_id& task,
                                      const ticket_cache* tickets, common::steady_time now)
 {
+    const auto held_back = this->held_back_until.find(task);
+    if (held_back != this->held_back_until.end() && now < held_back->second) {
+        return false;
+    }
     const std::int64_t suspicion = this->suspicion_of(job, task);
     if (this->unexplained_losses.count(task) > 0 && suspicion >= max_certain_crashes) {
         return false; // waits until it is known whether its workers have crashed
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -68,6 +68,7 @@
                 const task_progress& task = job.progress.tasks[k][s][i];
                 const jobs::task_id name{id, static_cast<std::int64_t>(k), s,
                                          static_cast<std::int64_t>(i)};
+                this->hold_back_if_crashing(job, name, now);
                 if (task.state != task_progress::phase::open && !task.has_redundant_run()) {
                     continue;
                 }
@@ -143,6 +144,8 @@
         const jobs::task_id task = (held++)->first;
         this->release_hold(task);
     }
+    std::erase_if(this->held_back_until,
+                  [&job](const auto& each) { return each.first.job == job.spec.id; });
     this->stop_all_runs(job, now);
     this->mark_dirty(job);
     switch (state) {
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -76,7 +76,9 @@
     for (auto& [id, known] : this->workers) {
         known.listed = known.listed && known.listing == this->last_listing;
         if (const worker_entry* successor = successor_of(known.entry)) {
-            known.listed = false;
+            if (std::exchange(known.listed, false)) {
+                this->note_crash(known, *successor, {}, now);
+            }
             this->mark_runs_lost(known, loss_of_replaced(known, *successor),
                                  "a newer worker instance runs on its VM", now);
         }
@@ -104,7 +106,10 @@
         std::set<jobs::task_id> kept = this->runs_on(entry.instance, known);
         std::erase_if(known.runs, [&kept](const auto& each) { return kept.contains(each); });
         const std::set<jobs::task_id> in_flight = this->starts_in_flight(known, now);
+        std::vector<lost_start> crashed = this->unexplained_losses.take_crashed(entry);
+        this->note_unexplained(crashed, -1);
         if (!known.entry.instance.id.empty()) {
+            this->note_crash(known, entry, crashed, now);
             this->mark_runs_lost(known, loss_of_replaced(known, entry), "the worker restarted", now,
                                  in_flight);
         }
@@ -125,8 +130,6 @@
         known.idle_since = now;
         this->record(decision_record::kind::worker_added, entry.instance.id,
                      "pool " + entry.pool + ", VM " + entry.vm);
-        const std::vector<lost_start> crashed = this->unexplained_losses.take_crashed(entry);
-        this->note_unexplained(crashed, -1);
         for (const lost_start& each : crashed) {
             this->count_crash(each, now);
         }
@@ -140,6 +143,24 @@
     }
 }
 
+void scheduler::note_crash(const worker_state& lost, const worker_entry& successor,
+                           const std::vector<lost_start>& explained, common::steady_time now)
+{
+    if (loss_of_replaced(lost, successor) != worker_loss::crashed) {
+        return;
+    }
+    std::vector<lost_start> starting = this->starting_runs(lost);
+    starting.insert(starting.end(), explained.begin(), explained.end());
+    const bool is_explained =
+        std::any_of(starting.begin(), starting.end(), [this](const lost_start& each) {
+            const active_job* job = this->find_job(each.task.job);
+            return job != nullptr && this->suspicion_of(*job, each.task) >= isolation_crashes;
+        });
+    if (!is_explained) {
+        this->recent_crashes.add(starting, now);
+    }
+}
+
 std::set<jobs::task_id> scheduler::runs_on(const worker_instance& instance,
                                            const worker_state& worker) const
 {
