Withdraw an unanswered start instead of waiting for its deadline

Callers' tasks waited for up to 0.9 s after a start without an answer, although the worker had said that it does not run them. Cause: an unanswered start was given up only once the worker's clock had passed its deadline. Change: when a report that was asked for after the start does not list the run, the run is stopped by its number. Once the worker has accepted the stop it rejects the start, so the task is started again as soon as the next report lacks the run. A worker with an unanswered start is polled at once.

--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -271,7 +271,8 @@
     void schedule_poll(worker_state& worker, common::steady_time at);
     void reconcile_running(worker_state& worker, const poll_result& answer,
                            common::steady_time now);
-    void reconcile_missing(worker_state& worker, const poll_result& answer);
+    void reconcile_missing(worker_state& worker, const poll_result& answer,
+                           common::steady_time now);
     void throttle_best_effort_runs(worker_state& worker, common::steady_time now);
     void note_crash(const worker_state& lost, const worker_entry& successor,
                     const std::vector<lost_start>& explained, common::steady_time now);
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -358,7 +358,7 @@
     }
     worker->acknowledge_durable();
     this->reconcile_running(*worker, answer, now);
-    this->reconcile_missing(*worker, answer);
+    this->reconcile_missing(*worker, answer, now);
     if (worker->entry.draining) {
         this->evacuate(worker->entry.instance.id, now);
     }
@@ -433,7 +433,8 @@
     worker.poll_wait = throttled_poll_wait;
 }
 
-void scheduler::reconcile_missing(worker_state& worker, const poll_result& answer)
+void scheduler::reconcile_missing(worker_state& worker, const poll_result& answer,
+                                  common::steady_time now)
 {
     if (!answer.report.lists_all_ends) {
         return;
@@ -448,6 +449,7 @@
     };
     std::sort(listed.begin(), listed.end(), by_task);
     std::vector<jobs::task_id> lost;
+    std::vector<jobs::task_id> withdrawn;
     for (const jobs::task_id& task : worker.runs) {
         if (std::binary_search(listed.begin(), listed.end(), &task, by_task)) {
             continue;
@@ -462,8 +464,15 @@
         const bool never_began = run.phase == run_phase::inherited;
         if (ended || too_late || never_began) {
             lost.push_back(task);
+        } else if (run.phase == run_phase::unanswered && answer.sent_at > run.sent_at) {
+            withdrawn.push_back(task);
         }
     }
+    // Once the worker has accepted the stop it rejects the start, so the task need not wait until
+    // the start's deadline.
+    for (const jobs::task_id& task : withdrawn) {
+        this->request_stop(task, this->open_runs.at(task), now);
+    }
     for (const jobs::task_id& task : lost) {
         this->mark_run_lost(task, "not reported by the worker");
     }
@@ -522,6 +531,9 @@
         run.phase = run_phase::unanswered;
         if (worker != nullptr) {
             ++worker->missed_polls;
+            if (!worker->poll_in_flight) {
+                this->schedule_poll(*worker, std::min(worker->next_poll, now));
+            }
         }
         return;
     }
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -649,4 +649,33 @@
     cr_assert(fixture.starts.size() == 2);
 }
 
+Test(scheduler_recovery, an_unanswered_start_is_withdrawn_and_made_again_before_its_deadline)
+{
+    // given
+    scheduler_fixture fixture;
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    const start_command start = fixture.starts.at(0);
+    const std::string worker = start.worker.id;
+    fixture.advance(fixture.now_ms + 30);
+    fixture.answer_start(start, command_outcome::unknown);
+    fixture.answer_poll(worker); // sent before the start
+    cr_assert(fixture.stops.empty());
+    fixture.advance(fixture.now_ms + 50);
+
+    // when: the worker does not report the run, and accepts a stop of it
+    fixture.answer_poll(worker);
+    cr_assert(fixture.stops.size() == 1);
+    cr_assert(fixture.starts.size() == 1);
+    fixture.under_test.handle_stop_result(
+        {start.worker, start.task, start.run, command_outcome::accepted, 0}, fixture.now());
+    fixture.advance(fixture.now_ms + 50);
+    fixture.answer_poll(worker);
+    fixture.advance(fixture.now_ms + 50);
+
+    // then
+    cr_assert(fixture.starts.size() == 2);
+    cr_assert(fixture.clock_ms_at(fixture.now()) < start.deadline_ms);
+}
+
 } // namespace
