Replace kept connections that have gone silent

Callers' work waited for seconds after open connections had gone silent for good, although new ones worked (issue "Connections that go silent"). Cause: a call on a kept connection waited for its whole limit, also when the peer answers within milliseconds; long polls on other connections to the same peer went on waiting, and each kept connection failed one call of its own. Change: a call may say how long its peer takes at most. A kept connection without a byte by then is closed with all to that peer that have not been heard of since; what waits unread in the socket of a busy process counts as heard.

--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -72,6 +72,7 @@
     connection_refused = 6002,
     peer_refused = 6003,
     peer_avoided = 6004,
+    connection_silent = 6005,
 };
 
 /// One row of the catalogue of log events.
@@ -81,7 +82,7 @@
     severity level;
 };
 
-inline constexpr std::array<event_entry, 59> event_catalogue{{
+inline constexpr std::array<event_entry, 60> event_catalogue{{
     {event_id::node_started, "node_started", severity::info},
     {event_id::node_ready, "node_ready", severity::info},
     {event_id::node_stopping, "node_stopping", severity::info},
@@ -141,6 +142,7 @@
     {event_id::connection_refused, "connection_refused", severity::warning},
     {event_id::peer_refused, "peer_refused", severity::warning},
     {event_id::peer_avoided, "peer_avoided", severity::warning},
+    {event_id::connection_silent, "connection_silent", severity::warning},
 }};
 
 /// Writes numbered events as one JSON object a line through log4cplus.
--- a/src/daemon/fleet_metrics.cpp
+++ b/src/daemon/fleet_metrics.cpp
@@ -41,6 +41,10 @@
                         .Name("chervilslip_store_seconds")
                         .Help("Time of a call to the store, its own wait aside")
                         .Register(this->registry)),
+      silent_connections(prometheus::BuildCounter()
+                             .Name("chervilslip_silent_connections_total")
+                             .Help("Open connections that were closed because they were silent")
+                             .Register(this->registry)),
       node(prometheus::BuildGauge()
                .Name("chervilslip_node")
                .Help("State of this node")
@@ -75,6 +79,11 @@
     this->store_seconds.Add({{"way", route}}, latency_buckets).Observe(seconds(taken));
 }
 
+void fleet_metrics::add_silent_connections(const std::string& link, std::size_t count)
+{
+    this->silent_connections.Add({{"link", link}}).Increment(static_cast<double>(count));
+}
+
 void fleet_metrics::set_scheduler_gauges(const scheduling::scheduler* active_scheduler)
 {
     const scheduling::scheduler_counters counts = active_scheduler == nullptr
--- a/src/daemon/fleet_metrics.h
+++ b/src/daemon/fleet_metrics.h
@@ -24,6 +24,9 @@
     void add_store_call(const std::string& route, const std::string& outcome,
                         common::milliseconds taken);
 
+    /// Records connections that went silent. `link` names what they led to.
+    void add_silent_connections(const std::string& link, std::size_t count);
+
     /// Current values that are exported as gauges.
     struct state {
         bool ready = false;
@@ -52,6 +55,7 @@
     prometheus::Family<prometheus::Counter>& jobs_refused;
     prometheus::Family<prometheus::Counter>& store_calls;
     prometheus::Family<prometheus::Histogram>& store_seconds;
+    prometheus::Family<prometheus::Counter>& silent_connections;
     prometheus::Family<prometheus::Gauge>& node;
     prometheus::Family<prometheus::Gauge>& decisions;
     prometheus::Family<prometheus::Gauge>& workers;
--- a/src/daemon/store_transport.cpp
+++ b/src/daemon/store_transport.cpp
@@ -26,6 +26,10 @@
 /// just below it.
 constexpr common::milliseconds hedge_delay{300};
 
+/// A kept connection to the store without a response after this time is silent. Before the next
+/// route is tried, the call is sent again on a new connection.
+constexpr common::milliseconds silence_delay{260};
+
 /// Time that a peer needs in addition to its own call to the store.
 constexpr common::milliseconds peer_margin{50};
 
@@ -73,6 +77,11 @@
 {
 }
 
+void store_transport::on_silence(std::function<void(const net::silent_connection&)> callback)
+{
+    this->client.on_silence(std::move(callback));
+}
+
 bool store_transport::is_direct_available() const
 {
     return this->direct_available;
@@ -161,6 +170,7 @@
 {
     this->client.call(
         this->address, pending->request, limit,
+        {pending->wait + silence_delay, true, std::nullopt, {}},
         [this, pending](common::result<net::http_response> answer) {
             --pending->pending_attempts;
             this->handle_direct_response(pending, std::move(answer));
@@ -279,6 +289,7 @@
     const auto limit = relay_timeout + common::milliseconds(wait_ms) - peer_margin;
     this->client.call(
         this->address, std::move(request), limit,
+        {common::milliseconds(wait_ms) + silence_delay, true, std::nullopt, {}},
         [number = call.number, answer](common::result<net::http_response> store_response) {
             membership::relay_response reply;
             reply.number = number;
--- a/src/daemon/store_transport.h
+++ b/src/daemon/store_transport.h
@@ -31,6 +31,9 @@
     void serve_relayed(const membership::relay_call& call,
                        const membership::response_sender& answer);
 
+    /// Sets a callback for each connection to the store that has gone silent.
+    void on_silence(std::function<void(const net::silent_connection&)> callback);
+
     /// Returns whether the store served this node's most recent direct call.
     [[nodiscard]] bool is_direct_available() const;
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -69,6 +69,28 @@
     return errc::connection_lost;
 }
 
+/// A connection with what is known of its use.
+struct connection {
+    std::unique_ptr<beast::tcp_stream> stream;
+    common::steady_time opened_at;
+    common::steady_time answered_at; ///< when the latest response on it was complete
+};
+
+/// A call on a kept connection.
+class kept_connection_call {
+public:
+    kept_connection_call() = default;
+    kept_connection_call(const kept_connection_call&) = delete;
+    kept_connection_call& operator=(const kept_connection_call&) = delete;
+    virtual ~kept_connection_call() = default;
+
+    /// Returns when the request was sent.
+    [[nodiscard]] virtual common::steady_time request_time() const = 0;
+
+    /// Gives up the connection, which is silent.
+    virtual void leave_connection() = 0;
+};
+
 } // namespace
 
 class http_client::pool final : public std::enable_shared_from_this<pool> {
@@ -78,25 +100,69 @@
     {
     }
 
-    std::unique_ptr<beast::tcp_stream> take_idle(const endpoint& peer)
+    std::optional<connection> take_idle(const endpoint& peer)
     {
         auto& idle_of_peer = this->idle[peer];
         while (!idle_of_peer.empty()) {
-            auto stream = std::move(idle_of_peer.back());
+            connection kept = std::move(idle_of_peer.back());
             idle_of_peer.pop_back();
-            if (is_still_open(stream->socket())) {
-                return stream;
+            if (is_still_open(kept.stream->socket())) {
+                return kept;
             }
         }
-        return nullptr;
+        return std::nullopt;
     }
 
-    void give_back(const endpoint& peer, std::unique_ptr<beast::tcp_stream> stream)
+    void give_back(const endpoint& peer, connection used)
     {
         auto& idle_of_peer = this->idle[peer];
         if (!this->closed && idle_of_peer.size() < this->idle_connections) {
-            stream->expires_never();
-            idle_of_peer.push_back(std::move(stream));
+            used.stream->expires_never();
+            used.answered_at = std::chrono::steady_clock::now();
+            idle_of_peer.push_back(std::move(used));
+        }
+    }
+
+    void add_call(const endpoint& peer, const std::shared_ptr<kept_connection_call>& call)
+    {
+        this->calls[peer].push_back(call);
+    }
+
+    void remove_call(const endpoint& peer, const kept_connection_call* call)
+    {
+        const auto found = this->calls.find(peer);
+        if (found == this->calls.end()) {
+            return;
+        }
+        std::erase_if(found->second, [call](const auto& each) { return each.get() == call; });
+        if (found->second.empty()) {
+            this->calls.erase(found);
+        }
+    }
+
+    /// Handles a request of `sent_at` on a kept connection that got no response. Connections to the
+    /// peer that have not been heard of since may have gone silent with it.
+    void handle_silence(const endpoint& peer, const connection& silent, common::steady_time sent_at)
+    {
+        std::vector<std::shared_ptr<kept_connection_call>> left;
+        for (const auto& each : this->calls[peer]) {
+            if (each->request_time() <= sent_at) {
+                left.push_back(each);
+            }
+        }
+        const std::size_t closed_idle =
+            std::erase_if(this->idle[peer],
+                          [sent_at](const connection& each) { return each.answered_at < sent_at; });
+        if (this->silence_callback) {
+            const auto between = [](common::steady_time begin, common::steady_time end) {
+                return std::chrono::duration_cast<common::milliseconds>(end - begin);
+            };
+            this->silence_callback({peer, between(silent.opened_at, sent_at),
+                                    between(silent.answered_at, sent_at),
+                                    closed_idle + left.size()});
+        }
+        for (const auto& each : left) {
+            each->leave_connection();
         }
     }
 
@@ -104,12 +170,16 @@
     {
         this->closed = true;
         this->idle.clear();
+        this->calls.clear();
     }
 
     asio::io_context& context;
     std::size_t idle_connections;
     std::size_t body_bytes;
-    std::map<endpoint, std::vector<std::unique_ptr<beast::tcp_stream>>> idle;
+    std::map<endpoint, std::vector<connection>> idle;
+    /// Calls on kept connections that have a silence policy, by peer.
+    std::map<endpoint, std::vector<std::shared_ptr<kept_connection_call>>> calls;
+    std::function<void(const silent_connection&)> silence_callback;
     bool closed = false;
 };
 
@@ -117,63 +187,169 @@
 
 /// One call from connect to answer.
 template <typename Pool>
-class call_state final : public std::enable_shared_from_this<call_state<Pool>> {
+class call_state final : public kept_connection_call,
+                         public std::enable_shared_from_this<call_state<Pool>> {
 public:
-    call_state(std::shared_ptr<Pool> owner, endpoint target, http_request&& request,
-               common::milliseconds limit, http_answer handler, http_progress progress_handler)
-        : connections(std::move(owner)), peer(std::move(target)),
-          message(to_beast(std::move(request), this->peer)), time_limit(limit),
-          answer(std::move(handler)), progress(std::move(progress_handler))
+    call_state(std::shared_ptr<Pool> owner, endpoint target, http_request&& outgoing,
+               common::milliseconds limit, std::optional<silence_policy> for_silence,
+               http_answer handler, http_progress progress_handler)
+        : connections(std::move(owner)), peer(std::move(target)), request(std::move(outgoing)),
+          deadline(std::chrono::steady_clock::now() + limit), policy(std::move(for_silence)),
+          answer(std::move(handler)), progress(std::move(progress_handler)),
+          silence_timer(this->connections->context)
     {
-        this->parser.body_limit(this->connections->body_bytes);
-        this->parser.eager(true);
     }
 
     void start()
     {
-        this->stream = this->connections->take_idle(this->peer);
-        if (this->stream) {
-            this->stream->expires_after(this->time_limit);
-            this->send();
+        auto kept = this->connections->take_idle(this->peer);
+        if (!kept) {
+            this->begin_attempt({});
+            this->connect();
             return;
         }
-        this->connect();
+        this->is_kept = true;
+        this->begin_attempt(std::move(*kept));
+        if (this->policy) {
+            this->connections->add_call(this->peer, this->shared_from_this());
+            this->await_silence(this->policy->limit);
+        }
+        this->send();
+    }
+
+    [[nodiscard]] common::steady_time request_time() const override
+    {
+        return this->sent_at;
+    }
+
+    void leave_connection() override
+    {
+        if (this->may_repeat()) {
+            this->repeat();
+            return;
+        }
+        const auto left = std::exchange(this->current, nullptr);
+        this->finish(make_error(errc::timed_out, "receive answer", this->peer.to_string(),
+                                "the connection is silent"));
     }
 
 private:
+    /// What one attempt reads and writes. Handlers of an earlier attempt may still refer to it.
+    struct attempt {
+        connection used;
+        http::request<http::string_body> message;
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+    };
+
+    using attempt_pointer = std::shared_ptr<attempt>;
+
+    void begin_attempt(connection used)
+    {
+        this->current = std::make_shared<attempt>();
+        this->current->used = std::move(used);
+        this->current->message =
+            to_beast(this->policy && this->policy->repeats && !this->is_repeated
+                         ? http_request(this->request)
+                         : std::move(this->request),
+                     this->peer);
+        this->current->parser.body_limit(this->connections->body_bytes);
+        this->current->parser.eager(true);
+        this->sent_at = std::chrono::steady_clock::now();
+        if (this->current->used.stream) {
+            this->current->used.stream->expires_at(this->deadline);
+        }
+    }
+
+    /// Returns whether the request went out on a kept connection and may be sent once more.
+    [[nodiscard]] bool may_repeat() const
+    {
+        return this->policy && this->policy->repeats && !this->is_repeated && this->is_kept;
+    }
+
+    void repeat()
+    {
+        this->is_repeated = true;
+        this->silence_timer.cancel();
+        this->connections->remove_call(this->peer, this);
+        if (this->policy->repeated_body) {
+            this->request.body = std::move(*this->policy->repeated_body);
+        }
+        this->begin_attempt({});
+        this->connect();
+    }
+
+    void await_silence(common::milliseconds time)
+    {
+        this->silence_timer.expires_after(time);
+        this->silence_timer.async_wait([self = this->shared_from_this()](
+                                           const boost::system::error_code& failure) {
+            if (!failure && self->answer && !self->is_repeated && self->is_unanswered()) {
+                self->connections->handle_silence(self->peer, self->current->used, self->sent_at);
+            }
+        });
+    }
+
+    /// Returns whether no byte has arrived. A response that waits in the socket of a busy process
+    /// has arrived.
+    [[nodiscard]] bool is_unanswered() const
+    {
+        return !this->current->parser.got_some() &&
+               is_still_open(this->current->used.stream->socket());
+    }
+
     void connect()
     {
         boost::system::error_code failure;
         const auto address = asio::ip::make_address(this->peer.address, failure);
-        this->stream = std::make_unique<beast::tcp_stream>(this->connections->context);
-        this->stream->expires_after(this->time_limit);
+        this->current->used.stream =
+            std::make_unique<beast::tcp_stream>(this->connections->context);
+        this->current->used.stream->expires_at(this->connect_deadline());
         if (failure) {
             this->finish_later(make_error(errc::connect_failed, "connect", this->peer.to_string(),
                                           "not an IP address"));
             return;
         }
-        this->stream->async_connect(
+        this->current->used.stream->async_connect(
             tcp::endpoint{address, this->peer.port},
-            [self = this->shared_from_this()](const boost::system::error_code& cause) {
+            [self = this->shared_from_this(),
+             from = this->current](const boost::system::error_code& cause) {
+                if (from != self->current) {
+                    return;
+                }
                 if (cause) {
-                    self->finish(make_error(errc::connect_failed, "connect", self->peer.to_string(),
-                                            cause.message()));
+                    self->finish(
+                        make_error(self->is_repeated ? errc::connection_lost : errc::connect_failed,
+                                   "connect", self->peer.to_string(), cause.message()));
                     return;
                 }
+                from->used.opened_at = std::chrono::steady_clock::now();
+                from->used.stream->expires_at(self->deadline);
                 boost::system::error_code ignored;
-                self->stream->socket().set_option(tcp::no_delay(true), ignored);
+                from->used.stream->socket().set_option(tcp::no_delay(true), ignored);
                 // A call that is given up is reset: bytes that a cut network still holds must not
                 // arrive once it heals, because others may have acted in the meantime.
-                self->stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+                from->used.stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
                 self->send();
             });
     }
 
+    [[nodiscard]] common::steady_time connect_deadline() const
+    {
+        const bool is_limited = this->policy && this->policy->connect_limit.count() > 0;
+        return is_limited ? std::min(this->deadline,
+                                     std::chrono::steady_clock::now() + this->policy->connect_limit)
+                          : this->deadline;
+    }
+
     void send()
     {
-        http::async_write(*this->stream, this->message,
-                          [self = this->shared_from_this()](
+        http::async_write(*this->current->used.stream, this->current->message,
+                          [self = this->shared_from_this(), from = this->current](
                               const boost::system::error_code& failure, std::size_t) {
+                              if (from != self->current) {
+                                  return;
+                              }
                               if (failure) {
                                   self->fail("send request", failure);
                                   return;
@@ -184,13 +360,17 @@
 
     void receive()
     {
-        this->buffer.reserve(read_size);
-        http::async_read_some(*this->stream, this->buffer, this->parser,
-                              [self = this->shared_from_this()](
+        this->current->buffer.reserve(read_size);
+        http::async_read_some(*this->current->used.stream, this->current->buffer,
+                              this->current->parser,
+                              [self = this->shared_from_this(), from = this->current](
                                   const boost::system::error_code& failure, std::size_t) {
+                                  if (from != self->current) {
+                                      return;
+                                  }
                                   if (failure) {
                                       self->fail("receive answer", failure, self->received_part());
-                                  } else if (self->parser.is_done()) {
+                                  } else if (from->parser.is_done()) {
                                       self->deliver();
                                   } else {
                                       if (self->progress) {
@@ -203,9 +383,9 @@
 
     void deliver()
     {
-        auto received = this->parser.release();
+        auto received = this->current->parser.release();
         if (received.keep_alive()) {
-            this->connections->give_back(this->peer, std::move(this->stream));
+            this->connections->give_back(this->peer, std::move(this->current->used));
         }
         this->finish(from_beast(std::move(received)));
     }
@@ -213,11 +393,12 @@
     /// Tells a response that is too slow from none at all.
     [[nodiscard]] std::string received_part() const
     {
-        if (!this->parser.is_header_done()) {
+        const auto& parser = this->current->parser;
+        if (!parser.is_header_done()) {
             return {};
         }
-        const auto whole = this->parser.content_length();
-        return " after " + std::to_string(this->parser.get().body().size()) + " of " +
+        const auto whole = parser.content_length();
+        return " after " + std::to_string(parser.get().body().size()) + " of " +
                (whole ? std::to_string(*whole) : "?") + " bytes";
     }
 
@@ -227,6 +408,9 @@
         if (failure == beast::error::timeout) {
             // Other idle connections to a silent peer may be just as silent.
             this->connections->idle.erase(this->peer);
+        } else if (this->may_repeat() && !this->current->parser.got_some()) {
+            this->repeat();
+            return;
         }
         this->finish(make_error(cause_of(failure), std::move(step), this->peer.to_string(),
                                 failure.message() + received));
@@ -240,6 +424,8 @@
 
     void finish(common::result<http_response> outcome)
     {
+        this->silence_timer.cancel();
+        this->connections->remove_call(this->peer, this);
         if (auto handler = std::exchange(this->answer, nullptr)) {
             handler(std::move(outcome));
         }
@@ -247,13 +433,16 @@
 
     std::shared_ptr<Pool> connections;
     endpoint peer;
-    http::request<http::string_body> message;
-    common::milliseconds time_limit;
+    http_request request; ///< empty once it will not be sent again
+    common::steady_time deadline;
+    std::optional<silence_policy> policy;
     http_answer answer;
     http_progress progress;
-    std::unique_ptr<beast::tcp_stream> stream;
-    beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
+    asio::steady_timer silence_timer;
+    attempt_pointer current;
+    common::steady_time sent_at;
+    bool is_kept = false;     ///< the first attempt went out on a kept connection
+    bool is_repeated = false; ///< the first attempt may have reached the peer
 };
 
 } // namespace
@@ -273,10 +462,23 @@
                        http_answer answer, http_progress progress)
 {
     std::make_shared<call_state<pool>>(this->connections, peer, std::move(request), time_limit,
-                                       std::move(answer), std::move(progress))
+                                       std::nullopt, std::move(answer), std::move(progress))
         ->start();
 }
 
+void http_client::call(const endpoint& peer, http_request request, common::milliseconds time_limit,
+                       silence_policy policy, http_answer answer, http_progress progress)
+{
+    std::make_shared<call_state<pool>>(this->connections, peer, std::move(request), time_limit,
+                                       std::move(policy), std::move(answer), std::move(progress))
+        ->start();
+}
+
+void http_client::on_silence(std::function<void(const silent_connection&)> callback)
+{
+    this->connections->silence_callback = std::move(callback);
+}
+
 class http_stream::implementation final : public std::enable_shared_from_this<implementation> {
 public:
     implementation(asio::io_context& io, endpoint target, http_request&& request,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -15,6 +19,32 @@
 /// Is called whenever a part of the response has arrived.
 using http_progress = std::function<void()>;
 
+/// How a call handles connections that do not work. A network may drop the state of an open
+/// connection: what is sent on it is never answered, while a new connection to the same peer works.
+struct silence_policy {
+    /// A kept connection on which no byte of the response arrives within this time counts as
+    /// silent. Longer than the peer takes to answer.
+    common::milliseconds limit{0};
+    /// The request is sent again on a new connection if the kept one is silent or was lost.
+    /// Requires that the peer may act on the request twice. Otherwise the call fails.
+    bool repeats = false;
+    /// The body of the repeated request; unset: the same as before.
+    std::optional<std::string> repeated_body;
+    /// A new connection that is not made within this time is given up, and nothing is sent. Zero:
+    /// the time limit of the call.
+    common::milliseconds connect_limit{0};
+};
+
+/// A kept connection that has gone silent.
+struct silent_connection {
+    endpoint peer;
+    common::milliseconds age{0};    ///< since it was opened
+    common::milliseconds unused{0}; ///< between the last response on it and the unanswered request
+    std::size_t closed = 0;         ///< connections to the peer that were closed, itself included
+
+    friend bool operator==(const silent_connection&, const silent_connection&) = default;
+};
+
 /// Calls HTTP/1.1 peers and keeps idle connections for later calls. An error says
 /// `connect_failed` only when no byte of the request was sent; every other error means that the
 /// peer may have acted. Not thread safe: used on the io_context's thread.
@@ -32,6 +62,15 @@
     void call(const endpoint& peer, http_request request, common::milliseconds time_limit,
               http_answer answer, http_progress progress = {});
 
+    /// As `call`. If the request goes out on a kept connection that is silent, all connections to
+    /// the peer that have been silent for as long are closed. Calls on them that may be repeated
+    /// are sent once more on new ones, within their time limits; the others fail.
+    void call(const endpoint& peer, http_request request, common::milliseconds time_limit,
+              silence_policy policy, http_answer answer, http_progress progress = {});
+
+    /// Sets a callback for each silent connection.
+    void on_silence(std::function<void(const silent_connection&)> callback);
+
 private:
     class pool;
     std::shared_ptr<pool> connections;
