Find silent connections between nodes and replace them

Callers' jobs were shed for seven seconds after an instant's trouble on hundreds of VMs (issue "Connections that go silent"): the owner heard no end of a task for three seconds, had hundreds of starts without an answer and took sound workers for lost. Cause: nodes of a fleet exchange no heartbeats, and the owner's orders and the relays' results go over different connections, on which nothing ever comes back. A silent one was used until the kernel gave it up, if ever; the relay was avoided for 2 s and then used again over the same connection. Change: a peer that has sent nothing for 250 ms after a message is pinged; every version of a node answers the ping. Without an answer for 250 ms a second connection is made. It takes the place of the first if its ping is answered while the first is still silent, so a peer that is merely busy keeps its connection. What was sent since the last answered ping and may arrive twice is sent again, without a loss of the peer: orders, which a relay carries out once by their numbers, results, and calls between nodes. Anything else ends the connection as before. Idle connections are pinged every 15 s; what a peer has left is closed after 60 s.

--- a/src/daemon/peer_client.cpp
+++ b/src/daemon/peer_client.cpp
@@ -20,7 +20,7 @@
     request.number = number;
     this->calls[number] = {peer, std::move(done)};
     const std::weak_ptr<bool> weak = this->alive;
-    if (!this->network.send(peer, request)) {
+    if (!this->network.send(peer, request, membership::delivery::at_least_once)) {
         boost::asio::post(this->context, [this, weak, number, peer] {
             if (!weak.expired()) {
                 this->complete(number, make_error(errc::connect_failed, "call peer", peer,
--- a/src/daemon/peer_client.h
+++ b/src/daemon/peer_client.h
@@ -11,8 +11,8 @@
 /// Receives the response of a peer, or an error.
 using peer_response_handler = std::function<void(common::result<membership::relay_response>)>;
 
-/// Sends calls to other entry nodes, each with a timeout. Not thread safe: used on the
-/// io_context's thread.
+/// Sends calls to other entry nodes, each with a timeout. A call may reach its peer twice. Not
+/// thread safe: used on the io_context's thread.
 class peer_client {
 public:
     /// Precondition: `network` outlives this object.
--- a/src/daemon/worker_relay.cpp
+++ b/src/daemon/worker_relay.cpp
@@ -308,7 +308,9 @@
     for (auto& [peer, batch] : std::exchange(this->outgoing, {})) {
         batch.result_delay = this->batch_window;
         const std::string body = scheduling::encode_commands(batch);
-        if (this->network.send(peer, make_call(orders_target, body))) {
+        // A start names its run, and a late one is dropped, so they may arrive twice.
+        if (this->network.send(peer, make_call(orders_target, body),
+                               membership::delivery::at_least_once)) {
             continue;
         }
         for (const scheduling::numbered_command& each : batch.commands) {
@@ -335,7 +337,8 @@
     this->result_flush_scheduled = false;
     for (const auto& [peer, batch] : std::exchange(this->results, {})) {
         // Without a connection the owner has already completed these commands as unknown.
-        this->network.send(peer, make_call(results_target, scheduling::encode_results(batch)));
+        this->network.send(peer, make_call(results_target, scheduling::encode_results(batch)),
+                           membership::delivery::at_least_once);
     }
 }
 
@@ -426,6 +429,9 @@
     this->requested_delay = decoded.value().result_delay;
     const common::milliseconds delay = this->observe_delay(peer, decoded.value());
     for (const scheduling::numbered_command& each : decoded.value().commands) {
+        if (!this->executed[peer].add(each.number)) {
+            continue; // sent again, because it was not known whether it had arrived
+        }
         if (this->is_too_late(each, delay)) {
             this->queue_result(peer, {each.number, command_outcome::not_sent, 0, {}});
         } else {
--- a/src/daemon/worker_relay.h
+++ b/src/daemon/worker_relay.h
@@ -9,6 +9,7 @@
 #include "common/event_log.h"
 #include "daemon/message_delay.h"
 #include "daemon/reading_time.h"
+#include "daemon/recent_numbers.h"
 #include "membership/peer_network.h"
 #include "scheduling/command_codec.h"
 #include "scheduling/worker_port.h"
@@ -143,6 +144,7 @@
     std::map<std::string, std::vector<std::string>> relays_of_zone;
     std::map<std::string, scheduling::command_batch> outgoing;
     std::map<std::string, message_delay> delays;    ///< of the batches that peers send
+    std::map<std::string, recent_numbers> executed; ///< commands, by the peer that sent them
     std::map<std::string, std::vector<scheduling::numbered_result>> results;
     std::map<std::uint64_t, pending_command> pending; ///< by number
     std::uint64_t last_number;
--- a/src/membership/peer_network.cpp
+++ b/src/membership/peer_network.cpp
@@ -1,5 +1,7 @@
 #include "membership/peer_network.h"
 
+#include <deque>
+#include <optional>
 #include <vector>
 
 #include <netinet/tcp.h>
@@ -32,6 +34,43 @@
 constexpr common::milliseconds reconnect_delay{300};
 constexpr common::milliseconds handshake_timeout{3000};
 
+/// A network may drop the state of an open connection, which is then silent for good. A peer is
+/// therefore pinged when it has sent nothing for this long after a message, and from time to time.
+constexpr common::milliseconds ping_delay{250};
+constexpr common::milliseconds idle_ping_interval{15'000};
+
+/// After this time without an answer to a ping, a second connection is made. If it is ready before
+/// the first one answers, it takes its place; a peer that is merely busy answers on the first.
+constexpr common::milliseconds replacement_delay{250};
+constexpr common::milliseconds silence_check_interval{100};
+
+/// A connection from a peer that has pinged before is closed when nothing arrives for this long.
+constexpr common::milliseconds abandoned_limit{60'000};
+
+/// Frames without an answer that are kept in order to send them again.
+constexpr std::size_t max_retained_bytes = std::size_t{128} * 1024;
+
+/// A call that every version of a node answers, although earlier ones do not know it.
+constexpr std::uint64_t ping_number = 0;
+constexpr std::string_view ping_target = "/peer/ping";
+
+bool is_ping(const message& value)
+{
+    const auto* call = std::get_if<relay_call>(&value);
+    return call != nullptr && call->number == ping_number && call->target == ping_target;
+}
+
+bool is_ping_response(const message& value)
+{
+    const auto* response = std::get_if<relay_response>(&value);
+    return response != nullptr && response->number == ping_number;
+}
+
+common::milliseconds elapsed_between(common::steady_time begin, common::steady_time end)
+{
+    return std::chrono::duration_cast<common::milliseconds>(end - begin);
+}
+
 std::string encode_frame(const message& value)
 {
     const std::string body = encode(value);
@@ -52,6 +91,85 @@
     return length;
 }
 
+/// Frames that were sent and may not have arrived. Not thread safe.
+class retained_frames {
+public:
+    void add(const std::string& frame, delivery how)
+    {
+        this->frames.push_back({frame, how});
+        this->size += frame.size();
+        if (this->size > max_retained_bytes) {
+            this->complete_from = this->next_number();
+            this->drop_before(this->complete_from);
+        }
+    }
+
+    /// Records that a ping follows the frames added so far.
+    void add_ping()
+    {
+        this->pings.push_back(this->next_number());
+    }
+
+    /// Records the response to the first unanswered ping: the frames before it have arrived.
+    void confirm_ping()
+    {
+        if (!this->pings.empty()) {
+            this->confirmed = this->pings.front();
+            this->pings.pop_front();
+            this->drop_before(this->confirmed);
+        }
+    }
+
+    /// Returns whether all frames that may not have arrived are retained and may be sent again.
+    [[nodiscard]] bool may_repeat() const
+    {
+        return this->confirmed >= this->complete_from &&
+               std::all_of(this->frames.begin(), this->frames.end(),
+                           [](const entry& each) { return each.how == delivery::at_least_once; });
+    }
+
+    [[nodiscard]] std::size_t count() const
+    {
+        return this->frames.size();
+    }
+
+    /// Calls `action` with each frame, in the order in which they were sent.
+    template <typename Action>
+    void for_each(Action action) const
+    {
+        for (const entry& each : this->frames) {
+            action(each.frame, each.how);
+        }
+    }
+
+private:
+    struct entry {
+        std::string frame;
+        delivery how = delivery::at_most_once;
+    };
+
+    [[nodiscard]] std::uint64_t next_number() const
+    {
+        return this->first_number + this->frames.size();
+    }
+
+    void drop_before(std::uint64_t number)
+    {
+        while (this->first_number < number && !this->frames.empty()) {
+            this->size -= this->frames.front().frame.size();
+            this->frames.pop_front();
+            ++this->first_number;
+        }
+    }
+
+    std::deque<entry> frames;
+    std::deque<std::uint64_t> pings; ///< number of the frame after each unanswered ping
+    std::uint64_t first_number = 0;  ///< of the first retained frame
+    std::uint64_t confirmed = 0;     ///< all frames before this one have arrived
+    std::uint64_t complete_from = 0; ///< an unconfirmed frame before this one was dropped
+    std::size_t size = 0;
+};
+
 /// One connection: performs the handshake (hello and proof), then exchanges messages.
 class peer_connection final : public std::enable_shared_from_this<peer_connection> {
 public:
@@ -61,12 +179,15 @@
         std::function<void(peer_connection&, const common::error&)> on_end;
     };
 
-    /// `shared_buffer` is used within one handler at a time.
-    peer_connection(tcp::socket&& connected, const member& own, const std::string& shared_secret,
-                    std::vector<char>& shared_buffer, callbacks handlers)
-        : socket(std::move(connected)), timer(this->socket.get_executor()), self(own),
-          secret(shared_secret), read_buffer(shared_buffer), hooks(std::move(handlers)),
-          nonce(common::random_hex(nonce_bytes))
+    /// `shared_buffer` is used within one handler at a time. `outgoing` tells whether this node
+    /// made the connection.
+    peer_connection(tcp::socket&& connected, bool outgoing, const member& own,
+                    const std::string& shared_secret, std::vector<char>& shared_buffer,
+                    callbacks handlers)
+        : socket(std::move(connected)), is_outgoing(outgoing), timer(this->socket.get_executor()),
+          self(own), secret(shared_secret), read_buffer(shared_buffer), hooks(std::move(handlers)),
+          nonce(common::random_hex(nonce_bytes)), opened_at(std::chrono::steady_clock::now()),
+          received_at(this->opened_at)
     {
     }
 
@@ -92,7 +213,7 @@
         this->wait_for_data();
     }
 
-    void send(const message& value)
+    void send(const message& value, delivery how = delivery::at_most_once)
     {
         if (this->ended) {
             return;
@@ -102,11 +223,68 @@
             return;
         }
         const std::string frame = encode_frame(value);
-        this->uncollected_bytes += frame.size();
-        this->send_queue += frame;
-        if (this->queued_frames++ == 0 && !this->writing) {
-            this->schedule_write();
+        if (this->ready && this->is_outgoing && !is_ping(value)) {
+            this->retained.add(frame, how);
         }
+        this->send_frame(frame);
+    }
+
+    void send_ping()
+    {
+        this->pinged_at = std::chrono::steady_clock::now();
+        this->retained.add_ping();
+        this->send(relay_call{ping_number, "GET", std::string(ping_target), {}, {}, {}});
+    }
+
+    /// Sends again what was sent on an earlier connection and may not have arrived.
+    void send_again(const retained_frames& earlier)
+    {
+        earlier.for_each([this](const std::string& frame, delivery how) {
+            this->retained.add(frame, how);
+            this->send_frame(frame);
+        });
+    }
+
+    void respond_to_ping()
+    {
+        this->is_pinged_by_peer = true;
+        this->send(relay_response{ping_number, 200, {}});
+    }
+
+    void confirm_ping()
+    {
+        this->retained.confirm_ping();
+    }
+
+    [[nodiscard]] const retained_frames& unconfirmed_frames() const
+    {
+        return this->retained;
+    }
+
+    [[nodiscard]] bool needs_ping(common::steady_time now) const
+    {
+        return !this->pinged_at &&
+               (this->unanswered_since ? now - *this->unanswered_since >= ping_delay
+                                       : now - this->received_at >= idle_ping_interval);
+    }
+
+    /// Returns whether a ping has not been answered for too long.
+    [[nodiscard]] bool is_silent(common::steady_time now) const
+    {
+        return this->pinged_at && now - *this->pinged_at >= replacement_delay;
+    }
+
+    /// Returns whether the peer, which pings, has left a connection that it had made.
+    [[nodiscard]] bool is_abandoned(common::steady_time now) const
+    {
+        return this->is_pinged_by_peer && now - this->received_at >= abandoned_limit;
+    }
+
+    /// Describes a connection that is silent.
+    [[nodiscard]] silent_peer describe_silence(common::steady_time now) const
+    {
+        return {this->remote.name, elapsed_between(this->opened_at, now),
+                elapsed_between(this->received_at, now), this->retained.count()};
     }
 
     void close()
@@ -128,6 +306,18 @@
     }
 
 private:
+    void send_frame(const std::string& frame)
+    {
+        if (this->is_outgoing && !this->unanswered_since) {
+            this->unanswered_since = std::chrono::steady_clock::now();
+        }
+        this->uncollected_bytes += frame.size();
+        this->send_queue += frame;
+        if (this->queued_frames++ == 0 && !this->writing) {
+            this->schedule_write();
+        }
+    }
+
     void wait_for_data()
     {
         this->socket.async_wait(
@@ -148,6 +338,9 @@
             return;
         }
         if (!this->end_on_failure(failure)) {
+            this->received_at = std::chrono::steady_clock::now();
+            this->unanswered_since.reset();
+            this->pinged_at.reset();
             this->received.append(this->read_buffer.data(), size);
             this->handle_received();
         }
@@ -272,6 +465,7 @@
     }
 
     tcp::socket socket;
+    bool is_outgoing;
     asio::steady_timer timer;
     const member& self;
     const std::string& secret;
@@ -284,6 +478,13 @@
     std::string writing_bytes; ///< of the write under way
     std::size_t queued_frames = 0;
     std::uint64_t uncollected_bytes = 0;
+    retained_frames retained;
+    common::steady_time opened_at;
+    common::steady_time received_at; ///< the latest bytes; none yet: opened
+    /// The first frame that was sent after them.
+    std::optional<common::steady_time> unanswered_since;
+    std::optional<common::steady_time> pinged_at; ///< unset once anything has arrived
+    bool is_pinged_by_peer = false;
     bool writing = false;
     bool ready = false;
     bool ended = false;
@@ -296,7 +497,7 @@
     implementation(asio::io_context& io, member own, std::string shared_secret,
                    network_hooks handlers)
         : context(io), self(std::move(own)), secret(std::move(shared_secret)),
-          hooks(std::move(handlers)), acceptor(io)
+          hooks(std::move(handlers)), acceptor(io), check_timer(io)
     {
     }
 
@@ -331,14 +532,15 @@
         }
     }
 
-    bool send(const std::string& name, const message& value)
+    bool send(const std::string& name, const message& value, delivery how)
     {
         const auto found = this->outgoing.find(name);
         if (found == this->outgoing.end()) {
             return false;
         }
-        found->second->send(value);
-        this->total_bytes_sent += found->second->collect_sent_bytes();
+        peer_connection& connection = *found->second.connection;
+        connection.send(value, how);
+        this->total_bytes_sent += connection.collect_sent_bytes();
         return true;
     }
 
@@ -349,7 +551,7 @@
             names.push_back(name);
         }
         for (const std::string& name : names) {
-            this->send(name, value);
+            this->send(name, value, delivery::at_least_once);
         }
     }
 
@@ -358,6 +560,7 @@
         this->closed = true;
         boost::system::error_code ignored;
         this->acceptor.close(ignored);
+        this->check_timer.cancel();
         const auto copy = this->connections;
         for (const auto& connection : copy) {
             connection->close();
@@ -368,7 +571,128 @@
 
     std::uint64_t total_bytes_sent = 0;
 
+    void schedule_check()
+    {
+        this->check_timer.expires_after(silence_check_interval);
+        this->check_timer.async_wait(
+            [self = this->shared_from_this()](const boost::system::error_code& failure) {
+                if (!failure && !self->closed) {
+                    self->check_connections(std::chrono::steady_clock::now());
+                    self->schedule_check();
+                }
+            });
+    }
+
 private:
+    struct outgoing_connection {
+        std::shared_ptr<peer_connection> connection;
+        net::endpoint target;
+    };
+
+    void check_connections(common::steady_time now)
+    {
+        std::vector<outgoing_connection> silent;
+        for (const auto& [name, each] : this->outgoing) {
+            if (each.connection->is_silent(now) && !this->replacing.contains(each.target)) {
+                silent.push_back(each);
+            }
+        }
+        for (const outgoing_connection& each : silent) {
+            if (this->hooks.on_silence) {
+                this->hooks.on_silence(each.connection->describe_silence(now));
+            }
+            this->replacing[each.target] = nullptr;
+            this->connect(each.target);
+        }
+        const auto copy = this->connections;
+        for (const auto& each : copy) {
+            if (each->needs_ping(now) && this->is_in_use(*each)) {
+                each->send_ping();
+                this->total_bytes_sent += each->collect_sent_bytes();
+            } else if (each->is_abandoned(now)) {
+                each->close();
+                this->connections.erase(each);
+            }
+        }
+    }
+
+    [[nodiscard]] bool is_in_use(const peer_connection& connection) const
+    {
+        const auto found = this->outgoing.find(connection.peer().name);
+        return found != this->outgoing.end() && found->second.connection.get() == &connection;
+    }
+
+    [[nodiscard]] bool is_connected_to(const net::endpoint& target) const
+    {
+        return std::any_of(this->outgoing.begin(), this->outgoing.end(),
+                           [&target](const auto& each) { return each.second.target == target; });
+    }
+
+    /// Returns whether a connection that could not be made was to replace one that still exists.
+    /// Another replacement may be made after a moment.
+    bool give_up_replacement(const net::endpoint& target)
+    {
+        if (!this->replacing.contains(target) || !this->is_connected_to(target)) {
+            this->replacing.erase(target);
+            return false;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(this->context, reconnect_delay);
+        timer->async_wait([self = this->shared_from_this(), timer, target](
+                              const boost::system::error_code&) { self->replacing.erase(target); });
+        return true;
+    }
+
+    void use_connection(peer_connection& connection, const net::endpoint& target)
+    {
+        const auto replacement = this->replacing.find(target);
+        if (replacement == this->replacing.end() || !this->is_connected_to(target)) {
+            this->replacing.erase(target);
+            this->outgoing[connection.peer().name] = {connection.shared_from_this(), target};
+            this->hooks.on_connected(connection.peer());
+            return;
+        }
+        // A ping that is sent now is answered after those on the earlier connection, if at all.
+        replacement->second = connection.shared_from_this();
+        connection.send_ping();
+        this->total_bytes_sent += connection.collect_sent_bytes();
+    }
+
+    void handle_ping_response(peer_connection& connection,
+                              const std::optional<net::endpoint>& target)
+    {
+        connection.confirm_ping();
+        const auto replacement = target ? this->replacing.find(*target) : this->replacing.end();
+        if (replacement != this->replacing.end() && replacement->second.get() == &connection) {
+            this->replacing.erase(replacement);
+            this->replace_if_silent(connection, *target);
+        }
+    }
+
+    void replace_if_silent(peer_connection& connection, const net::endpoint& target)
+    {
+        const auto found = this->outgoing.find(connection.peer().name);
+        if (found == this->outgoing.end()) {
+            this->outgoing[connection.peer().name] = {connection.shared_from_this(), target};
+            this->hooks.on_connected(connection.peer());
+            return;
+        }
+        if (!found->second.connection->is_silent(std::chrono::steady_clock::now())) {
+            connection.close();
+            this->connections.erase(connection.shared_from_this());
+            return;
+        }
+        const auto earlier = std::exchange(found->second.connection, connection.shared_from_this());
+        earlier->close();
+        this->connections.erase(earlier);
+        if (earlier->peer() == connection.peer() && earlier->unconfirmed_frames().may_repeat()) {
+            connection.send_again(earlier->unconfirmed_frames());
+            this->total_bytes_sent += connection.collect_sent_bytes();
+            return;
+        }
+        this->hooks.on_disconnected(earlier->peer());
+        this->hooks.on_connected(connection.peer());
+    }
+
     void accept()
     {
         this->acceptor.async_accept(
@@ -402,7 +726,9 @@
                                       return;
                                   }
                                   if (failure) {
-                                      self->schedule_reconnect(address);
+                                      if (!self->give_up_replacement(address)) {
+                                          self->schedule_reconnect(address);
+                                      }
                                       return;
                                   }
                                   self->start_connection(std::move(*socket), address);
@@ -425,14 +751,22 @@
         peer_connection::callbacks handlers;
         handlers.on_ready = [self = this->shared_from_this(), target](peer_connection& connection) {
             if (target) {
-                self->outgoing[connection.peer().name] = connection.shared_from_this();
-                self->hooks.on_connected(connection.peer());
+                self->use_connection(connection, *target);
             } else if (const auto address = net::parse_endpoint(connection.peer().address)) {
                 self->connect_to(*address); // The peer may have been unknown before it connected.
             }
         };
-        handlers.on_message = [self = this->shared_from_this()](peer_connection& connection,
-                                                                const message& value) {
+        handlers.on_message = [self = this->shared_from_this(), target](peer_connection& connection,
+                                                                        const message& value) {
+            if (is_ping(value)) {
+                connection.respond_to_ping();
+                self->total_bytes_sent += connection.collect_sent_bytes();
+                return;
+            }
+            if (is_ping_response(value)) {
+                self->handle_ping_response(connection, target);
+                return;
+            }
             const std::weak_ptr<peer_connection> weak = connection.weak_from_this();
             self->hooks.on_message(connection.peer(), value, [self, weak](const message& response) {
                 if (const auto locked = weak.lock()) {
@@ -445,8 +779,9 @@
                                                                     const common::error& cause) {
             self->on_connection_end(connection, target, cause);
         };
-        auto connection = std::make_shared<peer_connection>(
-            std::move(socket), this->self, this->secret, this->read_buffer, std::move(handlers));
+        auto connection =
+            std::make_shared<peer_connection>(std::move(socket), target.has_value(), this->self,
+                                              this->secret, this->read_buffer, std::move(handlers));
         this->connections.insert(connection);
         connection->start();
     }
@@ -458,12 +793,25 @@
         if (cause.code != errc::connection_lost) {
             this->hooks.on_rejected(cause);
         }
-        const auto found = this->outgoing.find(connection.peer().name);
-        if (found != this->outgoing.end() && found->second.get() == &connection) {
-            this->outgoing.erase(found);
+        const bool was_in_use = this->is_in_use(connection);
+        if (was_in_use) {
+            this->outgoing.erase(connection.peer().name);
             this->hooks.on_disconnected(connection.peer());
         }
-        if (target && !this->closed) {
+        if (!target || this->closed) {
+            return;
+        }
+        auto replacement = this->replacing.extract(*target);
+        if (was_in_use && !replacement.empty()) {
+            // It is an ordinary connection from now on.
+            if (const auto ready = replacement.mapped()) {
+                this->outgoing[ready->peer().name] = {ready, *target};
+                this->hooks.on_connected(ready->peer());
+            }
+            return;
+        }
+        this->replacing.insert(std::move(replacement));
+        if (!this->give_up_replacement(*target)) {
             this->schedule_reconnect(*target);
         }
     }
@@ -476,7 +824,10 @@
     std::vector<char> read_buffer = std::vector<char>(read_buffer_bytes);
     std::set<net::endpoint> addresses;
     std::set<std::shared_ptr<peer_connection>> connections;
-    std::map<std::string, std::shared_ptr<peer_connection>> outgoing; ///< by peer name
+    std::map<std::string, outgoing_connection> outgoing; ///< by peer name
+    /// Connections that are to replace silent ones, by target; null until they are ready.
+    std::map<net::endpoint, std::shared_ptr<peer_connection>> replacing;
+    asio::steady_timer check_timer;
     bool closed = false;
 };
 
@@ -485,6 +836,7 @@
     : inner(std::make_shared<implementation>(context, std::move(self), std::move(secret),
                                              std::move(hooks)))
 {
+    this->inner->schedule_check();
 }
 
 peer_network::~peer_network()
@@ -502,9 +854,9 @@
     this->inner->connect_to(address);
 }
 
-bool peer_network::send(const std::string& name, const message& value)
+bool peer_network::send(const std::string& name, const message& value, delivery how)
 {
-    return this->inner->send(name, value);
+    return this->inner->send(name, value, how);
 }
 
 void peer_network::send_to_all(const message& value)
--- a/src/membership/peer_network.h
+++ b/src/membership/peer_network.h
@@ -14,6 +14,22 @@
 /// Sends the response to a peer's message over the connection that the message came on.
 using response_sender = std::function<void(const message& value)>;
 
+/// How often a message may arrive if its connection goes silent.
+enum class delivery {
+    at_most_once,  ///< is lost with the connection, which is reported as ended
+    at_least_once, ///< is sent again on the next connection
+};
+
+/// A connection to a peer on which pings are not answered.
+struct silent_peer {
+    std::string name;
+    common::milliseconds age{0};     ///< since the connection was opened
+    common::milliseconds unheard{0}; ///< since the latest bytes arrived on it
+    std::size_t frames = 0;          ///< that were sent and may not have arrived
+
+    friend bool operator==(const silent_peer&, const silent_peer&) = default;
+};
+
 /// Callbacks of the peer network.
 struct network_hooks {
     /// A message of an authenticated peer arrived.
@@ -26,11 +42,14 @@
     std::function<void(const member& peer)> on_disconnected;
     /// A connection was closed for an error other than its loss, such as a failed handshake.
     std::function<void(const common::error& cause)> on_rejected;
+    /// A connection is silent, and another is being made; may be empty.
+    std::function<void(const silent_peer& peer)> on_silence = {};
 };
 
 /// TCP connections between entry nodes. A frame is a four-byte length and a msgpack message. Each
 /// node connects to every other node, sends its messages on its own connection, and sends responses
-/// on the connection that the message came on. Not thread safe: used on the io_context's thread.
+/// on the connection that the message came on. A connection that goes silent while its peer accepts
+/// a new one is replaced. Not thread safe: used on the io_context's thread.
 class peer_network {
 public:
     peer_network(boost::asio::io_context& context, member self, std::string secret,
@@ -46,9 +65,9 @@
     void connect_to(const net::endpoint& address);
 
     /// Sends to a peer; returns false when it is not connected.
-    bool send(const std::string& name, const message& value);
+    bool send(const std::string& name, const message& value, delivery how = delivery::at_most_once);
 
-    /// Sends to every connected peer, whether live or suspected.
+    /// Sends to every connected peer, whether live or suspected, at least once.
     void send_to_all(const message& value);
 
     /// Returns the number of bytes sent since the start.
