Play foreign entries and cut lists of ends in the soak of the fleet

Change: a fifth of the listings has an entry of another writer on a worker's VM, for a pool that is not configured and newer than the worker; workers list three ends at a time.

--- a/src/fakes/run_model.cpp
+++ b/src/fakes/run_model.cpp
@@ -9,9 +9,6 @@
 using scheduling::command_outcome;
 using scheduling::end_cause;
 
-/// Ends that a worker lists at a time.
-constexpr std::size_t ends_per_report = 500;
-
 constexpr std::int64_t longest_hold_ms = 6000;
 constexpr std::int64_t full_percent = 100;
 
@@ -160,10 +157,10 @@
     for (const auto& [task, run] : this->running) {
         seen.running.push_back({task, run.run, run.checkpoint, full_percent, 0});
     }
-    const auto listed = std::min(this->ended.size(), ends_per_report);
+    const auto listed = std::min(this->ended.size(), this->options.ends_per_report);
     seen.finished.assign(this->ended.begin(),
                          this->ended.begin() + static_cast<std::ptrdiff_t>(listed));
-    seen.lists_all_ends = listed < ends_per_report;
+    seen.lists_all_ends = listed < this->options.ends_per_report || this->options.hides_cut_lists;
     return seen;
 }
 
--- a/src/fakes/run_model.h
+++ b/src/fakes/run_model.h
@@ -39,10 +39,12 @@
 struct run_model_options {
     std::int64_t clock_offset_ms = 0;
     double clock_rate = 1.0;
-    bool guards_capacity = false;    ///< refuses what does not fit
-    std::int64_t stop_ms = 0;        ///< how long a run takes to stop, from the last `settle`
-    bool obeys_older_owners = false; ///< a planted fault
-    bool compares_id_only = false;   ///< obeys what was meant for an earlier instance of its id
+    bool guards_capacity = false;      ///< refuses what does not fit
+    std::int64_t stop_ms = 0;          ///< how long a run takes to stop, from the last `settle`
+    std::size_t ends_per_report = 500; ///< ends that a report lists at most
+    bool obeys_older_owners = false;   ///< a planted fault
+    bool hides_cut_lists = false;      ///< a planted fault: does not say that more ends follow
+    bool compares_id_only = false;     ///< obeys what was meant for an earlier instance of its id
 
     friend bool operator==(const run_model_options&, const run_model_options&) = default;
 };
--- a/src/soak/fleet_world.cpp
+++ b/src/soak/fleet_world.cpp
@@ -16,11 +16,18 @@
 constexpr std::int64_t unix_origin = 1'700'000'000'000;
 constexpr std::size_t most_traces = 5;
 constexpr double crashing_share = 0.08; ///< of the jobs
+constexpr std::uint64_t entry_seed_offset = 1'000'003;
+constexpr double foreign_entry_share = 0.2; ///< of the listings
+constexpr const char* foreign_worker = "foreign";
+
+/// Few, so that lists of ends are often cut.
+constexpr std::size_t ends_per_report = 3;
 
 } // namespace
 
 fleet_world::fleet_world(fleet_world_options wanted)
-    : options(wanted), random(wanted.seed), crash_random(~wanted.seed)
+    : options(wanted), random(wanted.seed), crash_random(~wanted.seed),
+      entry_random(wanted.seed + entry_seed_offset)
 {
 }
 
@@ -148,6 +155,8 @@
         wanted.clock_offset_ms = static_cast<std::int64_t>(this->random.below(1'000'000));
         wanted.clock_rate = 1.0 - 0.02 * this->random.unit();
         wanted.compares_id_only = true;
+        wanted.ends_per_report = ends_per_report;
+        wanted.hides_cut_lists = this->options.fault == fleet_fault::hidden_ends;
         wanted.obeys_older_owners = this->options.fault == fleet_fault::ignore_fences;
         this->workers.push_back({fakes::run_model(std::move(entry), wanted, hooks)});
     }
@@ -336,10 +345,25 @@
             }
         }
     }
+    if (this->entry_random.chance(foreign_entry_share)) {
+        entries.push_back(this->make_foreign_entry());
+    }
     which->scheduler->update_workers(entries, steady(this->now));
     this->run_cell(which);
 }
 
+/// Returns an entry of another writer, on the VM of a worker and newer than it.
+scheduling::worker_entry fleet_world::make_foreign_entry()
+{
+    const worker_model& neighbour = this->workers[this->entry_random.below(this->workers.size())];
+    scheduling::worker_entry entry = neighbour.runs.entry();
+    entry.instance = {foreign_worker, entry.instance.started_at_ms + 1};
+    if (this->options.fault != fleet_fault::foreign_successors) {
+        entry.pool = "unknown";
+    }
+    return entry;
+}
+
 void fleet_world::run_cell(const owner& which)
 {
     for (scheduling::action& each : which->scheduler->take_actions()) {
@@ -353,7 +377,9 @@
 void fleet_world::carry_out(const owner& which, scheduling::action&& what)
 {
     if (auto* poll = std::get_if<scheduling::poll_command>(&what)) {
-        this->send_look(which, *poll);
+        if (poll->worker.id != foreign_worker) { // nobody answers there
+            this->send_look(which, *poll);
+        }
     } else if (auto* start = std::get_if<scheduling::start_command>(&what)) {
         this->send_start(which, *start);
     } else if (auto* stop = std::get_if<scheduling::stop_command>(&what)) {
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -29,6 +29,8 @@
     forgotten_crashes,   ///< a new owner is not told of earlier crashes
     invented_crashes,    ///< a new owner is told of crashes that did not happen
     unseen_shrinking,    ///< the owner is not told of shrunk capacities
+    foreign_successors,  ///< entries of other writers look like those of later instances
+    hidden_ends,         ///< reports do not say that more ends follow
 };
 
 /// What is run.
@@ -148,6 +150,7 @@
     void notify(std::function<void(scheduling::scheduler&)> deliver);
     void read_input(const owner& which);
     void tell_workers(const owner& which);
+    [[nodiscard]] scheduling::worker_entry make_foreign_entry();
     void run_cell(const owner& which);
     void carry_out(const owner& which, scheduling::action&& what);
 
@@ -178,7 +181,9 @@
 
     fleet_world_options options;
     common::random_source random;
-    common::random_source crash_random; ///< of its own: the seeds of other trouble stay the same
+    // Of their own, so that the seeds of other trouble stay the same.
+    common::random_source crash_random;
+    common::random_source entry_random;
     fleet_world_report report;
     std::int64_t now = 0;
     std::uint64_t sequence = 0;
--- a/src/soak/tests/fleet_world_tests.cpp
+++ b/src/soak/tests/fleet_world_tests.cpp
@@ -114,6 +114,16 @@
     assert_fires(fleet_fault::unseen_shrinking, "capacity", 1, &run_with_crashes);
 }
 
+Test(fleet_world, a_foreign_entry_that_ends_runs_is_found)
+{
+    assert_fires(fleet_fault::foreign_successors, "one_run");
+}
+
+Test(fleet_world, ends_beyond_a_cut_list_that_count_as_lost_are_found)
+{
+    assert_fires(fleet_fault::hidden_ends, "attempts");
+}
+
 Test(fleet_world, a_skipped_journal_is_found)
 {
     assert_fires(fleet_fault::skip_journal, "one_run");
@@ -176,7 +186,7 @@
 
 Test(fleet_world, an_order_that_meets_the_next_instance_of_its_worker_is_found)
 {
-    assert_fires(fleet_fault::held_up_orders, "not_after_done", 60);
+    assert_fires(fleet_fault::held_up_orders, "not_after_done");
 }
 
 Test(fleet_world, a_task_that_runs_on_after_its_cancellation_is_found)
