Count each start of a task that crashed three workers, crash or not

Trace: a start that arrived late lapsed on its worker before it crashed it, and only crashes were counted. Change: once three workers have crashed under a task, a run that lapses counts like a crash. Conclusion: after three crashes the count bounds starts, not crashes.

--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -419,7 +419,12 @@
     } else {
         ++this->totals.ends_other;
     }
+    if (cause == end_cause::lapsed && progress.crashes >= max_certain_crashes) {
+        ++progress.crashes; // each further start counts, also one that crashed no worker
+        this->hold_back_if_crashing(job, task, now);
+    }
     this->requeue_task(job, task);
+    this->give_up_if_crashing(job, now);
     const bool attempts_exhausted = progress.failures >= this->policy_of(job).max_attempts;
     if (cause == end_cause::failed && attempts_exhausted && !step.long_running &&
         !jobs::is_final(job.progress.state)) {
