Bound a job's progress by what the store keeps as one value

Cause: tasks and occurrences were bounded each, their product was not; a refused write was repeated whatever the reason. Change: a job of more than 10,000 runs is refused with 400, which names the figures. For jobs that are stored already, and for checkpoints of any length, the owner drops checkpoints from a document over 900,000 bytes, and fails the job if it is still too large, before it writes anything. Tests: job, a_job_whose_progress_would_not_fit_into_the_store_is_refused; scheduler, a_job_whose_progress_exceeds_a_stored_value_fails_and_holds_up_no_other and large_checkpoints_are_dropped_rather_than_their_job.

--- a/src/jobs/job_checker.cpp
+++ b/src/jobs/job_checker.cpp
@@ -55,6 +55,13 @@
             return invalid(candidate, "more than " + std::to_string(max_tasks_of_job) + " tasks");
         }
     }
+    const std::int64_t runs = tasks * candidate.occurrences();
+    if (runs > max_runs_of_job) {
+        return invalid(candidate, std::to_string(tasks) + " tasks in " +
+                                      std::to_string(candidate.occurrences()) +
+                                      " occurrences are " + std::to_string(runs) +
+                                      " runs; the limit is " + std::to_string(max_runs_of_job));
+    }
     return boost::outcome_v2::success();
 }
 
--- a/src/jobs/tests/job_tests.cpp
+++ b/src/jobs/tests/job_tests.cpp
@@ -83,6 +83,25 @@
     cr_assert(check_job(sample_job()).has_value());
 }
 
+Test(job, a_job_whose_progress_would_not_fit_into_the_store_is_refused)
+{
+    // given: each number is allowed by itself
+    job scheduled = sample_job();
+    scheduled.steps.resize(1);
+    scheduled.steps[0].count = 1100;
+    scheduled.repeats = 1000;
+
+    // when
+    const auto checked = check_job(scheduled);
+    scheduled.repeats = 9;
+
+    // then
+    cr_assert(!checked.has_value());
+    cr_assert(checked.error().detail ==
+              "1100 tasks in 1000 occurrences are 1100000 runs; the limit is 10000");
+    cr_assert(check_job(scheduled).has_value());
+}
+
 Test(job, task_ids_are_parsed_and_other_texts_are_not)
 {
     // given
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -64,6 +64,8 @@
     common::milliseconds inherited_lease{6300}; ///< leases of an earlier owner end within this time
     common::milliseconds stop_grace{900};       ///< time within which a stopped run ends
     std::size_t journal_lanes = 4; ///< journal writes that may be under way at the same time
+    /// Size of a job's stored progress. The store refuses larger values for good.
+    std::size_t max_document_bytes = 900'000;
     /// Nothing is started while the latest confirmed input, cancellations included, is older than
     /// this; unset: not checked.
     std::optional<common::milliseconds> max_input_age;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -192,13 +192,41 @@
     return this->lanes[std::hash<std::string>{}(job) % this->lanes.size()];
 }
 
+/// A document over the limit would be refused for good, and hold up all jobs of its lane.
+std::string scheduler::encode_within_limit(active_job& job)
+{
+    std::string encoded = encode_progress(job.progress);
+    if (encoded.size() <= this->options.max_document_bytes) {
+        return encoded;
+    }
+    const std::string excess = "progress of " + std::to_string(encoded.size()) + " bytes exceeds " +
+                               std::to_string(this->options.max_document_bytes);
+    for (auto& steps : job.progress.tasks) {
+        for (auto& tasks : steps) {
+            for (task_progress& each : tasks) {
+                each.checkpoint.clear();
+            }
+        }
+    }
+    encoded = encode_progress(job.progress);
+    if (encoded.size() <= this->options.max_document_bytes) {
+        this->record(decision_record::kind::task_lost, job.spec.id,
+                     "its checkpoints are dropped: " + excess);
+    } else if (!jobs::is_final(job.progress.state)) {
+        job.history.failure = excess;
+        this->finish_job(job, jobs::job_state::failed, this->last_now);
+    }
+    return encoded;
+}
+
 std::set<std::string> scheduler::collect_changes(journal_lane& lane, journal_write& write)
 {
     std::set<std::string> chosen;
     std::size_t entries = 0;
     while (const std::string* front = lane.changed.front()) {
         const std::string id = *front;
-        const active_job& job = this->jobs_by_id.at(id);
+        active_job& job = this->jobs_by_id.at(id);
+        std::string progress = is_closed(job) ? std::string{} : this->encode_within_limit(job);
         const bool closed = is_closed(job);
         entries += closed ? entries_per_closed_job : entries_per_progress;
         if (entries > max_batch_entries) {
@@ -206,8 +234,8 @@
         }
         lane.changed.pop_front();
         chosen.insert(id);
-        write.changes.push_back({id, closed ? std::string{} : encode_progress(job.progress),
-                                 job.progress.state, closed});
+        write.changes.push_back(
+            {id, closed ? std::string{} : std::move(progress), job.progress.state, closed});
     }
     return chosen;
 }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -344,6 +344,7 @@
     [[nodiscard]] static bool is_closed(const active_job& job);
     [[nodiscard]] bool may_start(common::steady_time now) const;
     std::set<std::string> collect_changes(journal_lane& lane, journal_write& write);
+    std::string encode_within_limit(active_job& job);
 
     void record(decision_record::kind what, std::string subject, std::string detail);
     [[nodiscard]] bool is_traced(const active_job& job) const;
--- a/src/scheduling/tests/scheduler_tests.cpp
+++ b/src/scheduling/tests/scheduler_tests.cpp
@@ -569,4 +569,48 @@
     cr_assert(started == expected);
 }
 
+Test(scheduler, a_job_whose_progress_exceeds_a_stored_value_fails_and_holds_up_no_other)
+{
+    // given: one lane, and a job of an earlier version
+    scheduler_options options;
+    options.journal_lanes = 1;
+    options.max_document_bytes = 5000;
+    jobs::job huge = make_job("huge", 6000);
+    scheduler_fixture fixture({make_worker("w1")}, {}, options);
+    fixture.answer_first_polls();
+
+    // when
+    fixture.submit_job(huge);
+    fixture.submit_job(make_job("small"));
+    fixture.advance(fixture.now_ms + 100);
+
+    // then
+    cr_assert(fixture.under_test.state_of("huge") == jobs::job_state::failed);
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.starts.front().task.job == "small");
+}
+
+Test(scheduler, large_checkpoints_are_dropped_rather_than_their_job)
+{
+    // given
+    scheduler_options options;
+    options.max_document_bytes = 500;
+    scheduler_fixture fixture({make_worker("w1")}, {}, options);
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    const start_command start = fixture.starts.front();
+    fixture.answer_start(start, command_outcome::accepted);
+
+    // when
+    fixture.now_ms += 100;
+    finished_run stopped = make_finished_run(1, start, end_cause::stopped);
+    stopped.checkpoint.assign(1000, 'x');
+    fixture.answer_poll("w1", {}, {stopped});
+    fixture.advance(fixture.now_ms + 200);
+
+    // then
+    cr_assert(fixture.starts.size() == 2);
+    cr_assert(fixture.starts.back().checkpoint.empty());
+}
+
 } // namespace
