Close idle connections to workers that are gone

Change: every 2 s, when a connection is given back, idle ones that are closed, or were not used for a minute, are closed. Beside it, seeds 880 and 1361 of the soak with crashing tasks are guarded by fleet_world_tests. Conclusion: descriptors follow the workers that exist.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -21,6 +21,11 @@
 /// so a large response that is read in small pieces takes seconds while the process is busy.
 constexpr std::size_t read_size = std::size_t{64} * 1024;
 
+/// Idle connections that their peers have closed are closed at this interval, and those that have
+/// not been used for some time.
+constexpr std::chrono::seconds sweep_interval{2};
+constexpr std::chrono::seconds max_idle_time{60};
+
 constexpr std::size_t max_line_bytes = std::size_t{16} * 1024 * 1024;
 
 http::request<http::string_body> to_beast(http_request&& request, const endpoint& peer)
@@ -115,14 +120,41 @@
 
     void give_back(const endpoint& peer, connection used)
     {
+        const auto now = std::chrono::steady_clock::now();
+        if (now - this->swept_at >= sweep_interval) {
+            this->sweep(now);
+        }
         auto& idle_of_peer = this->idle[peer];
         if (!this->closed && idle_of_peer.size() < this->idle_connections) {
             used.stream->expires_never();
-            used.answered_at = std::chrono::steady_clock::now();
+            used.answered_at = now;
             idle_of_peer.push_back(std::move(used));
         }
     }
 
+    /// Closes connections to peers that are gone. Without it they would stay until their address is
+    /// used again.
+    void sweep(common::steady_time now)
+    {
+        this->swept_at = now;
+        for (auto each = this->idle.begin(); each != this->idle.end();) {
+            std::erase_if(each->second, [now](const connection& kept) {
+                return now - kept.answered_at >= max_idle_time ||
+                       !is_still_open(kept.stream->socket());
+            });
+            each = each->second.empty() ? this->idle.erase(each) : std::next(each);
+        }
+    }
+
+    [[nodiscard]] std::size_t idle_count() const
+    {
+        std::size_t count = 0;
+        for (const auto& [peer, kept] : this->idle) {
+            count += kept.size();
+        }
+        return count;
+    }
+
     void add_call(const endpoint& peer, const std::shared_ptr<kept_connection_call>& call)
     {
         this->calls[peer].push_back(call);
@@ -177,6 +209,7 @@
     std::size_t idle_connections;
     std::size_t body_bytes;
     std::map<endpoint, std::vector<connection>> idle;
+    common::steady_time swept_at;
     /// Calls on kept connections that have a silence policy, by peer.
     std::map<endpoint, std::vector<std::shared_ptr<kept_connection_call>>> calls;
     std::function<void(const silent_connection&)> silence_callback;
@@ -474,6 +507,11 @@
         ->start();
 }
 
+std::size_t http_client::idle_connections() const
+{
+    return this->connections->idle_count();
+}
+
 void http_client::on_silence(std::function<void(const silent_connection&)> callback)
 {
     this->connections->silence_callback = std::move(callback);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -68,6 +68,9 @@
     void call(const endpoint& peer, http_request request, common::milliseconds time_limit,
               silence_policy policy, http_answer answer, http_progress progress = {});
 
+    /// Returns the number of connections that are kept for later calls.
+    [[nodiscard]] std::size_t idle_connections() const;
+
     /// Sets a callback for each silent connection.
     void on_silence(std::function<void(const silent_connection&)> callback);
 
--- a/src/net/tests/http_client_tests.cpp
+++ b/src/net/tests/http_client_tests.cpp
@@ -289,4 +289,28 @@
     cr_assert(kept.server.bodies.size() == 1);
 }
 
+Test(http_client, idle_connections_to_a_server_that_is_gone_are_closed)
+{
+    // given
+    kept_connections kept(3);
+    silenceable_server other(kept.context);
+    cr_assert(kept.client.idle_connections() == 3);
+
+    // when: nobody calls the server again
+    kept.server.sockets.clear();
+    std::this_thread::sleep_for(std::chrono::milliseconds(2100));
+    net::http_request request;
+    request.method = "POST";
+    request.target = "/";
+    request.body = "{}";
+    kept.client.call(other.address(), request, kept_connections::time_limit,
+                     [&kept](common::result<net::http_response> got) {
+                         kept.outcomes.push_back(std::move(got));
+                     });
+    kept.run_until_answered(1);
+
+    // then
+    cr_assert(kept.client.idle_connections() == 1);
+}
+
 } // namespace
--- a/src/soak/tests/fleet_world_tests.cpp
+++ b/src/soak/tests/fleet_world_tests.cpp
@@ -99,6 +99,18 @@
     }
 }
 
+Test(fleet_world, holds_for_seeds_with_crashing_tasks_that_failed_once, .timeout = 100)
+{
+    // In 880 an unanswered start hid a crash; in 1361 a start that lapsed was not counted.
+    for (const std::uint64_t seed : {880, 1361}) {
+        // given, when
+        const auto report = run_with_crashes(seed, fleet_fault::none);
+
+        // then
+        cr_assert(report.violations.empty(), "seed %lu", static_cast<unsigned long>(seed));
+    }
+}
+
 Test(fleet_world, forgotten_crashes_are_found)
 {
     assert_fires(fleet_fault::forgotten_crashes, "crash_budget", 1, &run_with_crashes);
