Forget messages between nodes that have arrived, and replacements that go silent

Cause, found on reading the change again: on a connection whose peer answers all the time no ping is sent, so up to 128 KiB of messages that had long arrived would be sent once more when it goes silent, calls to the store among them. And a replacement that goes silent before its ping is answered was waited for without end. Change: what was sent a second before the latest bytes arrived counts as arrived; a replacement without an answer for 2 s is given up, and another one is made. Tests: peer_network, a_replacement_that_goes_silent_itself_is_replaced and a_message_that_arrived_long_ago_is_not_sent_again; membership passes. Conclusion: two severances in quick succession cost two replacements.

--- a/src/membership/peer_network.cpp
+++ b/src/membership/peer_network.cpp
@@ -47,6 +47,12 @@
 /// A connection from a peer that has pinged before is closed when nothing arrives for this long.
 constexpr common::milliseconds abandoned_limit{60'000};
 
+/// A replacement that does not answer within this time is given up.
+constexpr common::milliseconds replacement_limit{2000};
+
+/// Whatever was sent this long before bytes arrived had arrived itself.
+constexpr common::milliseconds arrival_limit{1000};
+
 /// Frames without an answer that are kept in order to send them again.
 constexpr std::size_t max_retained_bytes = std::size_t{128} * 1024;
 
@@ -94,9 +100,9 @@
 /// Frames that were sent and may not have arrived. Not thread safe.
 class retained_frames {
 public:
-    void add(const std::string& frame, delivery how)
+    void add(const std::string& frame, delivery how, common::steady_time now)
     {
-        this->frames.push_back({frame, how});
+        this->frames.push_back({frame, how, now});
         this->size += frame.size();
         if (this->size > max_retained_bytes) {
             this->complete_from = this->next_number();
@@ -114,12 +120,24 @@
     void confirm_ping()
     {
         if (!this->pings.empty()) {
-            this->confirmed = this->pings.front();
+            this->confirmed = std::max(this->confirmed, this->pings.front());
             this->pings.pop_front();
             this->drop_before(this->confirmed);
         }
     }
 
+    /// Records that all frames sent before a time have arrived.
+    void confirm_sent_before(common::steady_time time)
+    {
+        const auto first_later =
+            std::find_if(this->frames.begin(), this->frames.end(),
+                         [time](const entry& each) { return each.sent_at >= time; });
+        this->confirmed = std::max(
+            this->confirmed,
+            this->first_number + static_cast<std::uint64_t>(first_later - this->frames.begin()));
+        this->drop_before(this->confirmed);
+    }
+
     /// Returns whether all frames that may not have arrived are retained and may be sent again.
     [[nodiscard]] bool may_repeat() const
     {
@@ -146,6 +164,7 @@
     struct entry {
         std::string frame;
         delivery how = delivery::at_most_once;
+        common::steady_time sent_at;
     };
 
     [[nodiscard]] std::uint64_t next_number() const
@@ -224,7 +243,7 @@
         }
         const std::string frame = encode_frame(value);
         if (this->ready && this->is_outgoing && !is_ping(value)) {
-            this->retained.add(frame, how);
+            this->retained.add(frame, how, std::chrono::steady_clock::now());
         }
         this->send_frame(frame);
     }
@@ -239,8 +258,9 @@
     /// Sends again what was sent on an earlier connection and may not have arrived.
     void send_again(const retained_frames& earlier)
     {
-        earlier.for_each([this](const std::string& frame, delivery how) {
-            this->retained.add(frame, how);
+        const auto now = std::chrono::steady_clock::now();
+        earlier.for_each([this, now](const std::string& frame, delivery how) {
+            this->retained.add(frame, how, now);
             this->send_frame(frame);
         });
     }
@@ -274,6 +294,19 @@
         return this->pinged_at && now - *this->pinged_at >= replacement_delay;
     }
 
+    /// Returns whether a connection that is to replace another one has not answered for too long.
+    [[nodiscard]] bool is_useless(common::steady_time now) const
+    {
+        return this->ended || (this->pinged_at && now - *this->pinged_at >= replacement_limit);
+    }
+
+    /// Forgets the frames that have arrived by all that is known.
+    void forget_arrived_frames(common::steady_time now)
+    {
+        this->retained.confirm_sent_before((this->unanswered_since ? this->received_at : now) -
+                                           arrival_limit);
+    }
+
     /// Returns whether the peer, which pings, has left a connection that it had made.
     [[nodiscard]] bool is_abandoned(common::steady_time now) const
     {
@@ -591,8 +624,17 @@
 
     void check_connections(common::steady_time now)
     {
+        std::erase_if(this->replacing, [this, now](const auto& each) {
+            const bool is_useless = each.second && each.second->is_useless(now);
+            if (is_useless) {
+                each.second->close();
+                this->connections.erase(each.second);
+            }
+            return is_useless;
+        });
         std::vector<outgoing_connection> silent;
         for (const auto& [name, each] : this->outgoing) {
+            each.connection->forget_arrived_frames(now);
             if (each.connection->is_silent(now) && !this->replacing.contains(each.target)) {
                 silent.push_back(each);
             }
--- a/src/membership/tests/peer_network_tests.cpp
+++ b/src/membership/tests/peer_network_tests.cpp
@@ -145,4 +145,43 @@
     cr_assert(nodes.disconnected == 0);
 }
 
+Test(peer_network, a_message_that_arrived_long_ago_is_not_sent_again)
+{
+    // given
+    proxied_pair nodes;
+    nodes.send("old", delivery::at_least_once);
+    nodes.run_for(recovery_time);
+
+    // when
+    nodes.proxy.silence();
+    nodes.send("new", delivery::at_least_once);
+    nodes.run_until([&nodes] { return nodes.received.size() > 1; });
+
+    // then
+    nodes.run_for(milliseconds(200));
+    const std::vector<std::string> expected{"old", "new"};
+    cr_assert(nodes.received == expected);
+}
+
+Test(peer_network, a_replacement_that_goes_silent_itself_is_replaced)
+{
+    // given: two severances in quick succession
+    proxied_pair nodes;
+    nodes.proxy.silence();
+    nodes.send("late", delivery::at_least_once);
+    while (nodes.proxy.connections() < 2) {
+        nodes.context.run_one_for(milliseconds(1));
+    }
+
+    // when
+    nodes.proxy.silence();
+
+    // then
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(8);
+    while (nodes.received.empty() && std::chrono::steady_clock::now() < end) {
+        nodes.context.run_one_for(milliseconds(10));
+    }
+    cr_assert(nodes.received.size() == 1);
+}
+
 } // namespace
