Log why a job was refused and each attempt of a store call

Change: no logic. A response says whether it answers a repetition; the error of a store call lists its attempts with route, time and outcome; job_refused and job_unknown_fate carry it with the time the call was held. Counters: store_attempts_total by way and outcome (repetition_rejected among them), jobs_refused_total by reason.

--- a/src/daemon/fleet_metrics.cpp
+++ b/src/daemon/fleet_metrics.cpp
@@ -41,6 +41,10 @@
                         .Name("chervilslip_store_seconds")
                         .Help("Time of a call to the store, its own wait aside")
                         .Register(this->registry)),
+      store_attempts(prometheus::BuildCounter()
+                         .Name("chervilslip_store_attempts_total")
+                         .Help("Attempts of calls to the store by way and outcome")
+                         .Register(this->registry)),
       silent_connections(prometheus::BuildCounter()
                              .Name("chervilslip_silent_connections_total")
                              .Help("Open connections that were closed because they were silent")
@@ -67,9 +71,9 @@
     this->call_seconds.Add({{"call", what}}, latency_buckets).Observe(seconds(taken));
 }
 
-void fleet_metrics::add_shed_job()
+void fleet_metrics::add_refused_job(const std::string& reason)
 {
-    this->jobs_refused.Add({{"reason", "overload"}}).Increment();
+    this->jobs_refused.Add({{"reason", reason}}).Increment();
 }
 
 void fleet_metrics::add_store_call(const std::string& route, const std::string& outcome,
@@ -79,6 +83,11 @@
     this->store_seconds.Add({{"way", route}}, latency_buckets).Observe(seconds(taken));
 }
 
+void fleet_metrics::add_store_attempt(const std::string& route, const std::string& outcome)
+{
+    this->store_attempts.Add({{"way", route}, {"outcome", outcome}}).Increment();
+}
+
 void fleet_metrics::add_silent_connections(const std::string& link, std::size_t count)
 {
     this->silent_connections.Add({{"link", link}}).Increment(static_cast<double>(count));
--- a/src/daemon/fleet_metrics.h
+++ b/src/daemon/fleet_metrics.h
@@ -17,13 +17,16 @@
     /// Records a client's call. `what` is the HTTP method, `outcome` the status of the response.
     void add_call(const std::string& what, const std::string& outcome, common::milliseconds taken);
 
-    /// Records a job that was refused because the owner is overloaded.
-    void add_shed_job();
+    /// Records a job that was refused.
+    void add_refused_job(const std::string& reason);
 
     /// Records a call to the store. `route` is the route that answered, or "none".
     void add_store_call(const std::string& route, const std::string& outcome,
                         common::milliseconds taken);
 
+    /// Records one attempt of a call to the store on one route.
+    void add_store_attempt(const std::string& route, const std::string& outcome);
+
     /// Records connections that went silent. `link` names what they led to.
     void add_silent_connections(const std::string& link, std::size_t count);
 
@@ -55,6 +58,7 @@
     prometheus::Family<prometheus::Counter>& jobs_refused;
     prometheus::Family<prometheus::Counter>& store_calls;
     prometheus::Family<prometheus::Histogram>& store_seconds;
+    prometheus::Family<prometheus::Counter>& store_attempts;
     prometheus::Family<prometheus::Counter>& silent_connections;
     prometheus::Family<prometheus::Gauge>& node;
     prometheus::Family<prometheus::Gauge>& decisions;
--- a/src/daemon/job_frontend.cpp
+++ b/src/daemon/job_frontend.cpp
@@ -37,8 +37,11 @@
 void job_frontend::submit(jobs::job submitted, std::function<void(job_call_result)> done)
 {
     ++this->open_call_count;
-    std::string encoded = jobs::encode_job(submitted);
-    this->queue.push_back({std::move(submitted), std::move(encoded), std::move(done)});
+    pending_job& added = this->queue.emplace_back();
+    added.encoded = jobs::encode_job(submitted);
+    added.job = std::move(submitted);
+    added.done = std::move(done);
+    added.received_at = this->clock.steady_now();
     this->reject_unsent();
     this->write_next_batch();
 }
@@ -51,6 +54,7 @@
     std::deque<pending_job> sent;
     for (pending_job& each : std::exchange(this->queue, {})) {
         if (each.attempts == 0) {
+            each.failure = "the store is unreachable on every route";
             this->complete(each, job_call_result::rejected);
         } else {
             sent.push_back(std::move(each));
@@ -138,6 +142,7 @@
         for (pending_job& each : batch) {
             // An earlier attempt may still be executed.
             const bool earlier_uncertain = each.attempts > 1;
+            each.failure = outcome.error().to_string();
             if ((uncertain || earlier_uncertain) && each.attempts < max_attempts) {
                 this->queue.push_back(std::move(each));
             } else {
@@ -177,6 +182,7 @@
         } else if (closed != present.end()) {
             const auto stored = parse_closed_job(closed->second->value);
             const bool withdrawn = stored && stored->withdrawn;
+            each.failure = withdrawn ? "cancelled before it was stored" : "";
             this->complete(each,
                            withdrawn ? job_call_result::withdrawn : job_call_result::accepted);
         } else {
@@ -189,10 +195,16 @@
 void job_frontend::complete(pending_job& each, job_call_result call_result)
 {
     --this->open_call_count;
-    const nlohmann::json fields{{"job", each.job.id},
-                                {"queue", each.job.queue},
-                                {"team", each.job.team},
-                                {"tries", each.attempts}};
+    nlohmann::json fields{{"job", each.job.id},
+                          {"queue", each.job.queue},
+                          {"team", each.job.team},
+                          {"tries", each.attempts}};
+    if (!each.failure.empty()) {
+        const auto held = std::chrono::duration_cast<common::milliseconds>(
+            this->clock.steady_now() - each.received_at);
+        fields["cause"] = each.failure;
+        fields["held_ms"] = held.count();
+    }
     switch (call_result) {
     case job_call_result::accepted:
         this->log.write(common::event_id::job_accepted, fields);
--- a/src/daemon/job_frontend.h
+++ b/src/daemon/job_frontend.h
@@ -86,6 +86,8 @@
         std::function<void(job_call_result)> done;
         int attempts = 0;
         bool shed = false; ///< to be refused because the owner is overloaded
+        common::steady_time received_at;
+        std::string failure; ///< of the latest write
     };
 
     void reject_unsent();
--- a/src/daemon/store_transport.cpp
+++ b/src/daemon/store_transport.cpp
@@ -42,6 +42,17 @@
            answer.status == net::status_unavailable;
 }
 
+std::string describe_rejection(const net::http_response& answer)
+{
+    return "status " + std::to_string(answer.status) +
+           (answer.to_repetition ? " to the second copy" : "");
+}
+
+std::string rejection_outcome(const net::http_response& answer)
+{
+    return answer.to_repetition ? "repetition_rejected" : "rejected";
+}
+
 /// Returns the target of a relayed call: the store's wait time in ms, then the store's own target.
 std::string relay_target(common::milliseconds wait, const std::string& target)
 {
@@ -63,7 +74,7 @@
     net::http_answer done; ///< empty once called
     int pending_attempts = 0;
     bool may_have_executed = false; ///< some attempt may have been executed
-    std::string last_cause;
+    std::string causes;             ///< why each attempt failed
     std::shared_ptr<boost::asio::steady_timer> hedge_timer;
 };
 
@@ -158,10 +169,14 @@
 }
 
 void store_transport::handle_route_failure(const std::shared_ptr<pending_call>& pending,
-                                           bool may_have_executed, std::string cause)
+                                           bool may_have_executed, const std::string& route,
+                                           const std::string& cause)
 {
+    const auto elapsed = std::chrono::duration_cast<common::milliseconds>(this->clock.steady_now() -
+                                                                          pending->started_at);
     pending->may_have_executed = pending->may_have_executed || may_have_executed;
-    pending->last_cause = std::move(cause);
+    pending->causes += (pending->causes.empty() ? "" : "; ") + route + " at " +
+                       std::to_string(elapsed.count()) + " ms: " + cause;
     this->try_next_route(pending);
 }
 
@@ -189,14 +204,18 @@
 {
     if (answer.has_value() && !is_rejected(answer.value())) {
         this->record_direct_result(true, {});
+        this->metrics.add_store_attempt("direct", "answered");
         this->complete(pending, "direct", std::move(answer.value()));
         return;
     }
-    const std::string cause = answer.has_value() ? "status " + std::to_string(answer.value().status)
-                                                 : answer.error().to_string();
+    const std::string cause =
+        answer.has_value() ? describe_rejection(answer.value()) : answer.error().to_string();
     this->record_direct_result(false, cause);
-    this->handle_route_failure(
-        pending, !answer.has_value() && answer.error().may_have_reached_peer(), cause);
+    const bool may_have_executed = !answer.has_value() && answer.error().may_have_reached_peer();
+    this->metrics.add_store_attempt("direct", answer.has_value() ? rejection_outcome(answer.value())
+                                              : may_have_executed ? "no_response"
+                                                                  : "not_sent");
+    this->handle_route_failure(pending, may_have_executed, "direct", cause);
 }
 
 void store_transport::record_direct_result(bool served, const std::string& cause)
@@ -226,7 +245,7 @@
     const auto code =
         pending->may_have_executed ? common::errc::connection_lost : common::errc::unavailable;
     std::exchange(pending->done,
-                  nullptr)(common::make_error(code, "call store", "store", pending->last_cause));
+                  nullptr)(common::make_error(code, "call store", "store", pending->causes));
 }
 
 void store_transport::try_peer(const std::shared_ptr<pending_call>& pending,
@@ -251,6 +270,7 @@
     if (answered && answer.value().status != net::status_too_many_requests &&
         answer.value().status != net::status_unavailable) {
         this->preferred_peer = peer;
+        this->metrics.add_store_attempt("peer", "answered");
         net::http_response response;
         response.status = answer.value().status;
         response.body = std::move(answer.value().body);
@@ -262,10 +282,13 @@
     }
     const bool not_sent =
         !answer.has_value() && answer.error().code == common::errc::connect_failed;
-    this->handle_route_failure(
-        pending, !answered && !not_sent,
-        answer.has_value() ? "status " + std::to_string(answer.value().status) + " via a peer"
-                           : answer.error().to_string());
+    this->metrics.add_store_attempt("peer", answered   ? "rejected"
+                                            : not_sent ? "not_sent"
+                                                       : "no_response");
+    this->handle_route_failure(pending, !answered && !not_sent, "via " + peer,
+                               answer.has_value()
+                                   ? "status " + std::to_string(answer.value().status)
+                                   : answer.error().to_string());
 }
 
 void store_transport::serve_relayed(const membership::relay_call& call,
--- a/src/daemon/store_transport.h
+++ b/src/daemon/store_transport.h
@@ -56,7 +56,7 @@
     void complete(const std::shared_ptr<pending_call>& pending, const std::string& route,
                   net::http_response&& answer);
     void handle_route_failure(const std::shared_ptr<pending_call>& pending, bool may_have_executed,
-                              std::string cause);
+                              const std::string& route, const std::string& cause);
     void fail(const std::shared_ptr<pending_call>& pending);
     void record_direct_result(bool served, const std::string& cause);
     void record_call(const pending_call& pending, const std::string& route,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -420,7 +420,9 @@
         if (received.keep_alive()) {
             this->connections->give_back(this->peer, std::move(this->current->used));
         }
-        this->finish(from_beast(std::move(received)));
+        http_response response = from_beast(std::move(received));
+        response.to_repetition = this->is_repeated;
+        this->finish(std::move(response));
     }
 
     /// Tells a response that is too slow from none at all.
