Take a rejection of a repeated request for no answer to the first copy

Callers saw: every attempt of a job refused with 503, then the job ran. Cause: http_client sends a request once more when its kept connection is silent or lost, and handed on the answer to the second copy as if it spoke for both. 503 and 429 of the store mean that nothing was done, which is true of the copy that they answer; the first copy had been carried out without a response. store_transport, the relay of a peer and stops to workers concluded from it that nothing had been written or done. Change: http_client reports a rejection of a repeated request as an error after which the peer may have acted. All callers go by that already: the job's write is tried again and, if its fate stays unknown, the caller gets 504. Why here: the repetition is made inside http_client, so no caller can tell the copies apart; a caller added later gets the safe conclusion too.

--- a/src/daemon/store_transport.cpp
+++ b/src/daemon/store_transport.cpp
@@ -42,17 +42,6 @@
            answer.status == net::status_unavailable;
 }
 
-std::string describe_rejection(const net::http_response& answer)
-{
-    return "status " + std::to_string(answer.status) +
-           (answer.to_repetition ? " to the second copy" : "");
-}
-
-std::string rejection_outcome(const net::http_response& answer)
-{
-    return answer.to_repetition ? "repetition_rejected" : "rejected";
-}
-
 /// Returns the target of a relayed call: the store's wait time in ms, then the store's own target.
 std::string relay_target(common::milliseconds wait, const std::string& target)
 {
@@ -208,11 +197,11 @@
         this->complete(pending, "direct", std::move(answer.value()));
         return;
     }
-    const std::string cause =
-        answer.has_value() ? describe_rejection(answer.value()) : answer.error().to_string();
+    const std::string cause = answer.has_value() ? "status " + std::to_string(answer.value().status)
+                                                 : answer.error().to_string();
     this->record_direct_result(false, cause);
     const bool may_have_executed = !answer.has_value() && answer.error().may_have_reached_peer();
-    this->metrics.add_store_attempt("direct", answer.has_value() ? rejection_outcome(answer.value())
+    this->metrics.add_store_attempt("direct", answer.has_value()  ? "rejected"
                                               : may_have_executed ? "no_response"
                                                                   : "not_sent");
     this->handle_route_failure(pending, may_have_executed, "direct", cause);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/http_status.h"
+
 namespace chervilslip::net {
 
 namespace asio = boost::asio;
@@ -54,6 +56,12 @@
     return response;
 }
 
+/// Returns whether a status says that the peer has not acted on the request.
+bool is_rejection(unsigned status)
+{
+    return status == status_too_many_requests || status == status_unavailable;
+}
+
 bool is_still_open(tcp::socket& socket)
 {
     char byte = 0;
@@ -420,9 +428,13 @@
         if (received.keep_alive()) {
             this->connections->give_back(this->peer, std::move(this->current->used));
         }
-        http_response response = from_beast(std::move(received));
-        response.to_repetition = this->is_repeated;
-        this->finish(std::move(response));
+        if (this->is_repeated && is_rejection(received.result_int())) {
+            this->finish(make_error(errc::connection_lost, "receive answer", this->peer.to_string(),
+                                    "status " + std::to_string(received.result_int()) +
+                                        " to the second copy, no response to the first"));
+            return;
+        }
+        this->finish(from_beast(std::move(received)));
     }
 
     /// Tells a response that is too slow from none at all.
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -26,7 +26,8 @@
     /// silent. Longer than the peer takes to answer.
     common::milliseconds limit{0};
     /// The request is sent again on a new connection if the kept one is silent or was lost.
-    /// Requires that the peer may act on the request twice. Otherwise the call fails.
+    /// Requires that the peer may act on the request twice. Otherwise the call fails. A rejection
+    /// (429 or 503) of the repeated request is an error, because it says nothing of the first copy.
     bool repeats = false;
     /// The body of the repeated request; unset: the same as before.
     std::optional<std::string> repeated_body;
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -45,8 +45,6 @@
     std::string content_type = "application/json";
     std::string body;
     std::vector<http_field> fields;
-    /// The request was sent twice, and this is the response to the second copy.
-    bool to_repetition = false;
 
     /// Returns the value of the first field of that name, or an empty text. Thread safe.
     [[nodiscard]] std::string field(std::string_view name) const;
