Refuse no job for good of which another node's write is of unknown fate

Callers saw: 504 or no answer from one node, 503 from the next, then the job ran; a 503 says that it never does. Cause: a node whose store is out of reach refused what it had not sent itself. It knew nothing of the writes of others, nor of its own write of the same job under another call. Same class as: one attempt spoke for all. Change: a node tells all peers the ids of jobs whose writes got no response, before it tries again; a job that is known so, or is being written, is answered 504.

--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -1,6 +1,7 @@
 #include "daemon/fleet_node.h"
 
 #include <charconv>
+#include <limits>
 
 #include <boost/asio/post.hpp>
 
@@ -26,11 +27,16 @@
 /// instead after a timeout.
 constexpr common::milliseconds owner_call_timeout{250};
 
+/// Names jobs of which a write got no response.
+constexpr std::string_view unconfirmed_target = "/jobs/unconfirmed";
 constexpr std::string_view job_target = "/cell/job";
 constexpr std::string_view cancel_target = "/cell/cancel/";
 constexpr std::string_view state_target = "/cell/state/";
 constexpr std::string_view waiting_target = "/cell/waiting/";
 
+/// Of a call to which no response is expected. Peers of earlier versions respond all the same.
+constexpr std::uint64_t number_without_response = std::numeric_limits<std::uint64_t>::max();
+
 template <typename Number>
 std::optional<Number> parse_number(const std::string& text)
 {
@@ -64,9 +70,13 @@
                   injected.claim, injected.controller_options},
                  {this->identity.name, this->identity.incarnation},
                  this->identity.peer_endpoint.to_string(), seed),
+      unconfirmed(injected.clock.steady_now()),
       client_frontend(injected.store, *this, injected.clock, injected.log,
-                      this->owner_host.admission_gate(),
-                      [this] { return this->dependencies.transport.is_unreachable(); })
+                      this->owner_host.admission_gate(), this->unconfirmed,
+                      {[this] { return this->dependencies.transport.is_unreachable(); },
+                       [this](const std::vector<std::string>& ids) {
+                           this->announce_unconfirmed(ids);
+                       }})
 {
     this->owner_host.on_owner_change([this](const ownership::claim_record& owner) {
         const auto address = net::parse_endpoint(owner.address);
@@ -90,12 +100,14 @@
 void fleet_node::peer_connected(const membership::member& peer)
 {
     this->incarnations[peer.name] = peer.incarnation;
+    this->unconfirmed.handle_peer_connected(peer.name, this->dependencies.clock.steady_now());
     this->dependencies.peers.on_peer_connected(peer.name);
     this->workers.on_peer_connected(peer);
 }
 
 void fleet_node::peer_lost(const membership::member& peer)
 {
+    this->unconfirmed.handle_peer_lost(peer.name, this->dependencies.clock.steady_now());
     this->dependencies.peers.on_peer_lost(peer.name);
     this->workers.on_peer_lost(peer.name);
 }
@@ -223,6 +235,30 @@
     answer(this->handle_owner_call(*call));
 }
 
+void fleet_node::announce_unconfirmed(const std::vector<std::string>& ids)
+{
+    membership::relay_call call;
+    call.number = number_without_response;
+    call.method = "POST";
+    call.target = std::string(unconfirmed_target);
+    call.body = nlohmann::json(ids).dump();
+    this->dependencies.network.send_to_all(call);
+}
+
+void fleet_node::handle_unconfirmed(const std::string& peer, const std::string& body)
+{
+    const auto ids = nlohmann::json::parse(body, nullptr, false);
+    if (!ids.is_array() ||
+        !std::all_of(ids.begin(), ids.end(), [](const auto& each) { return each.is_string(); })) {
+        this->dependencies.log.write(event_id::peer_refused,
+                                     {{"error", "job ids from " + peer + " are not a list"}});
+        return;
+    }
+    for (const auto& id : ids) {
+        this->unconfirmed.add(id.get<std::string>(), this->dependencies.clock.steady_now());
+    }
+}
+
 bool fleet_node::handle_order_message(const membership::member& peer,
                                       const membership::relay_call& call)
 {
@@ -234,6 +270,10 @@
         this->workers.handle_results(peer.name, call.body);
         return true;
     }
+    if (call.target == unconfirmed_target) {
+        this->handle_unconfirmed(peer.name, call.body);
+        return true;
+    }
     return false;
 }
 
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -101,6 +101,8 @@
 
 private:
     [[nodiscard]] bool has_ended(const process_identity& process) const;
+    void announce_unconfirmed(const std::vector<std::string>& ids);
+    void handle_unconfirmed(const std::string& peer, const std::string& body);
     bool handle_order_message(const membership::member& peer, const membership::relay_call& call);
     membership::relay_response handle_owner_call(const membership::relay_call& call);
     void call_owner(membership::relay_call call, peer_response_handler done);
@@ -110,6 +112,7 @@
     std::map<std::string, std::int64_t> incarnations; ///< of the latest connection, by node
     worker_relay workers;
     scheduler_host owner_host;
+    admission::unconfirmed_submissions unconfirmed;
     job_frontend client_frontend;
     std::shared_ptr<const fleet_configuration> active_configuration;
     common::steady_time configuration_confirmed_as_of;
--- a/src/daemon/job_frontend.cpp
+++ b/src/daemon/job_frontend.cpp
@@ -23,9 +23,11 @@
 
 job_frontend::job_frontend(store::transactional_store& job_store, owner_client& fleet_owner,
                            const common::clock& time, const common::event_log& logger,
-                           admission::admission_gate& admissions, std::function<bool()> is_lost)
+                           admission::admission_gate& admissions,
+                           admission::unconfirmed_submissions& unconfirmed_jobs,
+                           job_frontend_hooks callbacks)
     : store(job_store), owner(fleet_owner), clock(time), log(logger), gate(admissions),
-      store_lost(std::move(is_lost))
+      unconfirmed(unconfirmed_jobs), hooks(std::move(callbacks))
 {
 }
 
@@ -48,7 +50,7 @@
 
 void job_frontend::reject_unsent()
 {
-    if (!this->store_lost()) {
+    if (!this->hooks.store_lost()) {
         return;
     }
     std::deque<pending_job> sent;
@@ -90,15 +92,37 @@
         batch.push_back(std::move(each));
     }
     this->add_admission_conditions(changes, any_shed);
+    this->ids_being_written = std::move(ids);
     this->store.commit(changes, [this, batch = std::move(batch)](
                                     common::result<store::commit_outcome> outcome) mutable {
         this->writing = false;
+        this->ids_being_written.clear();
         this->handle_write_result(std::move(batch), std::move(outcome));
         this->reject_unsent();
         this->write_next_batch();
     });
 }
 
+void job_frontend::add_unconfirmed(const std::vector<pending_job>& batch)
+{
+    std::vector<std::string> ids;
+    for (const pending_job& each : batch) {
+        if (!each.shed) {
+            this->unconfirmed.add(each.job.id, this->clock.steady_now());
+            ids.push_back(each.job.id);
+        }
+    }
+    if (!ids.empty()) {
+        this->hooks.announce_unconfirmed(ids);
+    }
+}
+
+bool job_frontend::is_refusal_certain(const std::string& id) const
+{
+    return !this->ids_being_written.contains(id) &&
+           this->unconfirmed.excludes(id, this->clock.steady_now());
+}
+
 bool job_frontend::is_shed(const jobs::job& submitted) const
 {
     return admission::may_be_refused(submitted) && !this->gate.admits(submitted.id);
@@ -139,6 +163,9 @@
 {
     if (!outcome) {
         const bool uncertain = outcome.error().may_have_been_done();
+        if (uncertain) {
+            this->add_unconfirmed(batch);
+        }
         for (pending_job& each : batch) {
             // An earlier attempt may still be executed.
             const bool earlier_uncertain = each.attempts > 1;
@@ -195,6 +222,10 @@
 void job_frontend::complete(pending_job& each, job_call_result call_result)
 {
     --this->open_call_count;
+    if (call_result == job_call_result::rejected && !this->is_refusal_certain(each.job.id)) {
+        call_result = job_call_result::unknown;
+        each.failure += "; an earlier submission may have been stored";
+    }
     nlohmann::json fields{{"job", each.job.id},
                           {"queue", each.job.queue},
                           {"team", each.job.team},
--- a/src/daemon/job_frontend.h
+++ b/src/daemon/job_frontend.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <deque>
+#include <set>
 
 #include <boost/asio/io_context.hpp>
 
 #include "admission/admission_gate.h"
+#include "admission/unconfirmed_submissions.h"
 #include "common/clock.h"
 #include "common/event_log.h"
 #include "daemon/closed_job.h"
@@ -19,9 +21,9 @@
 enum class job_call_result {
     accepted,   ///< durable; also when the job had been submitted before
     conflict,   ///< the ID belongs to a job of another team or queue
-    rejected,   ///< nothing was written; this call never takes effect
+    rejected,   ///< nothing was written; no submission of the job has taken or takes effect
     withdrawn,  ///< cancelled before it was stored; this call never takes effect
-    overloaded, ///< as `rejected`, and no earlier submission of the job has taken or takes effect
+    overloaded, ///< as `rejected`, because the owner is overloaded
     unknown,    ///< may have been accepted
     no_such_job,
 };
@@ -48,17 +50,26 @@
     virtual void query_waiting(const std::string& queue, store::handler<std::int64_t> done) = 0;
 };
 
+/// Callbacks of the frontend into its node.
+struct job_frontend_hooks {
+    /// Returns whether the store is unreachable on every route. Jobs that have not been sent to the
+    /// store are rejected then, because the outcome of sending them would be unknown.
+    std::function<bool()> store_lost;
+    /// Tells the peers of jobs that may be stored although their callers were not told so.
+    std::function<void(const std::vector<std::string>& ids)> announce_unconfirmed;
+};
+
 /// Accepts jobs and cancellations from clients, persists them, and answers queries for job states.
 /// Runs on every node. Not thread safe: used on the io_context's thread.
 class job_frontend {
 public:
-    /// `store_lost` returns whether the store is unreachable on every route. Jobs that have not
-    /// been sent to the store are rejected then, because the outcome of sending them would be
-    /// unknown. `gate` says which new jobs are accepted; the frontend updates it from the store's
-    /// responses. Precondition: all references outlive the frontend.
+    /// `gate` says which new jobs are accepted; the frontend updates it from the store's responses.
+    /// `unconfirmed` says of which jobs earlier submissions may have been stored; the frontend adds
+    /// its own. Precondition: all references outlive the frontend.
     job_frontend(store::transactional_store& job_store, owner_client& owner,
                  const common::clock& clock, const common::event_log& log,
-                 admission::admission_gate& gate, std::function<bool()> store_lost);
+                 admission::admission_gate& gate, admission::unconfirmed_submissions& unconfirmed,
+                 job_frontend_hooks hooks);
 
     /// Persists a job. Precondition: the job has been validated.
     void submit(jobs::job submitted, std::function<void(job_call_result)> done);
@@ -74,6 +85,10 @@
     /// Looks up how many jobs of a queue are waiting for their first start.
     void waiting(const std::string& queue, store::handler<std::int64_t> done);
 
+    /// Returns whether it is known that no submission of a job may have been stored, so that it may
+    /// be refused for good.
+    [[nodiscard]] bool is_refusal_certain(const std::string& id) const;
+
     /// Returns the number of calls that have not been answered.
     [[nodiscard]] std::size_t open_calls() const;
 
@@ -94,6 +109,7 @@
     void write_next_batch();
     void handle_write_result(std::vector<pending_job> batch,
                              common::result<store::commit_outcome> outcome);
+    void add_unconfirmed(const std::vector<pending_job>& batch);
     [[nodiscard]] bool is_shed(const jobs::job& submitted) const;
     void add_admission_conditions(store::transaction& changes, bool any_shed) const;
     void observe_admission(const std::map<std::string, const store::item*>& present,
@@ -111,8 +127,10 @@
     const common::clock& clock;
     const common::event_log& log;
     admission::admission_gate& gate;
-    std::function<bool()> store_lost;
+    admission::unconfirmed_submissions& unconfirmed;
+    job_frontend_hooks hooks;
     std::deque<pending_job> queue;
+    std::set<std::string> ids_being_written;
     bool writing = false;
     std::size_t open_call_count = 0;
 };
--- a/src/daemon/tests/job_frontend_tests.cpp
+++ b/src/daemon/tests/job_frontend_tests.cpp
@@ -103,10 +103,20 @@
     common::event_log log{"test"};
     admission::admission_gate gate;
     bool store_unreachable = false;
-    daemon::job_frontend frontend{
-        this->store, this->owner, this->clock, this->log, this->gate, [this] {
-            return this->store_unreachable;
-        }};
+    /// Has been told what the peers know.
+    admission::unconfirmed_submissions unconfirmed{
+        this->clock.steady_now() - admission::unconfirmed_submissions::repeat_window};
+    std::vector<std::string> announced;
+    daemon::job_frontend frontend{this->store,
+                                  this->owner,
+                                  this->clock,
+                                  this->log,
+                                  this->gate,
+                                  this->unconfirmed,
+                                  {[this] { return this->store_unreachable; },
+                                   [this](const std::vector<std::string>& ids) {
+                                       this->announced = ids;
+                                   }}};
 
     std::optional<job_call_result>& submit_job(const std::string& id,
                                                const std::string& team = "fire")
@@ -212,6 +222,45 @@
     cr_assert(fixture.frontend.open_calls() == 0);
 }
 
+Test(job_frontend, a_job_that_another_node_may_have_stored_is_not_refused_for_good)
+{
+    // given: no attempt of another node to write the job got a response
+    frontend_fixture first;
+    first.store.withhold_responses = true;
+    const auto& submitted = first.submit_job("j1");
+    for (int i = 0; i < 3; ++i) {
+        const auto answer = first.store.unanswered.back();
+        answer(common::make_error(common::errc::timed_out, "commit", "store", "no answer"));
+    }
+    cr_assert(submitted == job_call_result::unknown);
+
+    // when
+    frontend_fixture second;
+    second.store_unreachable = true;
+    for (const std::string& id : first.announced) {
+        second.unconfirmed.add(id, second.clock.steady_now());
+    }
+
+    // then
+    cr_assert(second.submit_job("j1") == job_call_result::unknown);
+    cr_assert(second.submit_job("j2") == job_call_result::rejected);
+}
+
+Test(job_frontend, a_job_that_is_being_written_is_not_refused_for_good)
+{
+    // given
+    frontend_fixture fixture;
+    fixture.store.withhold_responses = true;
+    fixture.submit_job("j1");
+
+    // when: the caller, whose connection was lost, submits it again
+    fixture.store_unreachable = true;
+    const auto again = fixture.submit_job("j1", "same caller");
+
+    // then
+    cr_assert(again == job_call_result::unknown);
+}
+
 Test(job_frontend, a_submission_that_takes_effect_after_its_cancellation_creates_no_job)
 {
     // given a submission whose write has not been executed yet
@@ -353,7 +402,10 @@
     // when: the caller repeats it at another node, which refuses it, and the delayed write arrives
     publish_share(fixture, tiny_share);
     daemon::job_frontend other(fixture.store, fixture.owner, fixture.clock, fixture.log,
-                               fixture.gate, [] { return false; });
+                               fixture.gate, fixture.unconfirmed,
+                               {[] { return false; },
+                                [](const auto&) {
+                                }});
     jobs::job job;
     job.id = "j1";
     job.steps.emplace_back();
@@ -375,7 +427,10 @@
     publish_share(fixture, tiny_share);
     admission::admission_gate outdated;
     daemon::job_frontend other(fixture.store, fixture.owner, fixture.clock, fixture.log, outdated,
-                               [] { return false; });
+                               fixture.unconfirmed,
+                               {[] { return false; },
+                                [](const auto&) {
+                                }});
     jobs::job job;
     job.id = "j1";
     job.steps.emplace_back();
