Take a rejection of a relayed call that arrived before for no answer

Calls to peers are sent again when the connection between nodes goes silent. The peer carried out the first copy, its response was lost with the connection, and the store's 503 to the second copy was replied as if it spoke for both. The reverse as well: a copy of a call whose rejection had been replied was executed after the caller had concluded that nothing was done. Change: the peer remembers the numbers of the calls that a process has sent (recent_numbers). A rejection of a call that was received before is replied as no answer. A call whose rejection was replied is not executed again, and a copy of one that is under way is not sent to the store: the latest copy gets the response. Conclusion: the numbers of 2,048 calls are kept for each peer, more than 128 KiB of frames that are sent again hold. A process of a peer that is known to be followed by another one is forgotten.

--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -217,7 +217,7 @@
         return;
     }
     if (call->target.starts_with(store_transport::relay_prefix)) {
-        this->dependencies.transport.serve_relayed(*call, answer);
+        this->dependencies.transport.serve_relayed(peer, *call, answer);
         return;
     }
     answer(this->handle_owner_call(*call));
--- a/src/daemon/recent_numbers.h
+++ b/src/daemon/recent_numbers.h
@@ -23,6 +23,12 @@
         return true;
     }
 
+    /// Returns whether a number is remembered.
+    [[nodiscard]] bool contains(std::uint64_t number) const
+    {
+        return this->known.contains(number);
+    }
+
 private:
     /// More than a peer sends before it finds that a connection is silent.
     static constexpr std::size_t max_known = 2048;
--- a/src/daemon/store_transport.cpp
+++ b/src/daemon/store_transport.cpp
@@ -280,7 +280,18 @@
                                    : answer.error().to_string());
 }
 
-void store_transport::serve_relayed(const membership::relay_call& call,
+store_transport::relayed_calls& store_transport::relayed_calls_of(const membership::member& peer)
+{
+    relayed_calls& calls = this->relayed[peer.name];
+    if (calls.incarnation != peer.incarnation) {
+        calls = {}; // another process, which numbers its calls anew
+        calls.incarnation = peer.incarnation;
+    }
+    return calls;
+}
+
+void store_transport::serve_relayed(const membership::member& peer,
+                                    const membership::relay_call& call,
                                     const membership::response_sender& answer)
 {
     const std::string rest = call.target.substr(relay_prefix.size());
@@ -294,26 +305,56 @@
         answer(membership::relay_response{call.number, net::status_bad_request, {}});
         return;
     }
+    relayed_calls& calls = this->relayed_calls_of(peer);
+    if (calls.rejected.contains(call.number)) {
+        // The peer may have concluded already that its call was not executed.
+        answer(membership::relay_response{call.number, net::status_unavailable, {}});
+        return;
+    }
+    if (!calls.pending.insert_or_assign(call.number, answer).second) {
+        return; // the connection of the first copy is gone
+    }
+    const bool received_before = !calls.received.add(call.number);
     net::http_request request;
     request.method = call.method;
     request.target = rest.substr(end_of_wait);
     request.body = call.body;
     const auto limit = relay_timeout + common::milliseconds(wait_ms) - peer_margin;
-    this->client.call(
-        this->address, std::move(request), limit,
-        {common::milliseconds(wait_ms) + silence_delay, true, std::nullopt, {}},
-        [number = call.number, answer](common::result<net::http_response> store_response) {
-            membership::relay_response reply;
-            reply.number = number;
-            reply.status = status_no_answer;
-            if (store_response.has_value()) {
-                reply.status = store_response.value().status;
-                reply.body = std::move(store_response.value().body);
-            } else if (store_response.error().code == common::errc::connect_failed) {
-                reply.status = net::status_unavailable;
-            }
-            answer(reply);
-        });
+    this->client.call(this->address, std::move(request), limit,
+                      {common::milliseconds(wait_ms) + silence_delay, true, std::nullopt, {}},
+                      [this, peer, number = call.number,
+                       received_before](common::result<net::http_response> store_response) {
+                          this->answer_relayed(peer, number, received_before,
+                                               std::move(store_response));
+                      });
+}
+
+void store_transport::answer_relayed(const membership::member& peer, std::uint64_t number,
+                                     bool received_before,
+                                     common::result<net::http_response> store_response)
+{
+    relayed_calls& calls = this->relayed.at(peer.name);
+    if (calls.incarnation != peer.incarnation) {
+        return; // the process that sent the call has ended
+    }
+    const auto answer = calls.pending.extract(number);
+    if (answer.empty()) {
+        return; // a message of an earlier process came in between
+    }
+    membership::relay_response reply;
+    reply.number = number;
+    reply.status = status_no_answer;
+    const bool rejected = store_response.has_value()
+                              ? is_rejected(store_response.value())
+                              : !store_response.error().may_have_reached_peer();
+    if (rejected && !received_before) {
+        calls.rejected.add(number);
+        reply.status = net::status_unavailable;
+    } else if (store_response.has_value() && !rejected) {
+        reply.status = store_response.value().status;
+        reply.body = std::move(store_response.value().body);
+    }
+    answer.mapped()(reply);
 }
 
 } // namespace chervilslip::daemon
--- a/src/daemon/store_transport.h
+++ b/src/daemon/store_transport.h
@@ -6,6 +6,7 @@
 #include "common/random.h"
 #include "daemon/fleet_metrics.h"
 #include "daemon/peer_client.h"
+#include "daemon/recent_numbers.h"
 #include "net/http_path.h"
 #include "store/availability_monitor.h"
 
@@ -27,8 +28,10 @@
     void call(net::http_request request, common::milliseconds wait, common::milliseconds limit,
               net::http_answer done) override;
 
-    /// Handles a relayed call from a peer by calling the store directly.
-    void serve_relayed(const membership::relay_call& call,
+    /// Handles a relayed call from a peer by calling the store directly. A call may arrive twice;
+    /// only the latest copy gets a response. A rejection says that no copy has been executed, and
+    /// none is executed after it.
+    void serve_relayed(const membership::member& peer, const membership::relay_call& call,
                        const membership::response_sender& answer);
 
     /// Sets a callback for each connection to the store that has gone silent.
@@ -43,6 +46,15 @@
 private:
     struct pending_call;
 
+    /// The relayed calls of one process of a peer, by number.
+    struct relayed_calls {
+        std::int64_t incarnation = 0;
+        recent_numbers received;
+        recent_numbers rejected;
+        /// Those under way, with the connection that the latest copy came on.
+        std::map<std::uint64_t, membership::response_sender> pending;
+    };
+
     void try_next_route(const std::shared_ptr<pending_call>& pending);
     void schedule_next_route(const std::shared_ptr<pending_call>& pending,
                              common::milliseconds delay);
@@ -53,6 +65,9 @@
                                 common::result<net::http_response> answer);
     void handle_peer_response(const std::shared_ptr<pending_call>& pending, const std::string& peer,
                               common::result<membership::relay_response> answer);
+    relayed_calls& relayed_calls_of(const membership::member& peer);
+    void answer_relayed(const membership::member& peer, std::uint64_t number, bool received_before,
+                        common::result<net::http_response> store_response);
     void complete(const std::shared_ptr<pending_call>& pending, const std::string& route,
                   net::http_response&& answer);
     void handle_route_failure(const std::shared_ptr<pending_call>& pending, bool may_have_executed,
@@ -74,6 +89,7 @@
     bool direct_available = true;
     common::steady_time direct_retry_at; ///< peers are tried first until then
     std::string preferred_peer;          ///< the last peer that answered a call; empty: none
+    std::map<std::string, relayed_calls> relayed; ///< by the peer that sent them
 };
 
 } // namespace chervilslip::daemon
--- a/src/daemon/tests/store_attempts_tests.cpp
+++ b/src/daemon/tests/store_attempts_tests.cpp
@@ -77,20 +77,27 @@
         return *answer;
     }
 
-    membership::relay_response serve_relayed(std::uint64_t number)
+    void receive_relayed(std::uint64_t number, std::vector<membership::relay_response>& replies)
     {
         membership::relay_call call;
         call.number = number;
         call.method = "POST";
         call.target = std::string(daemon::store_transport::relay_prefix) + "0/write";
-        std::optional<membership::relay_response> reply;
-        this->transport.serve_relayed(call, [&reply](const membership::message& value) {
-            reply = std::get<membership::relay_response>(value);
-        });
-        this->run_until([&reply] { return reply.has_value(); });
-        return *reply;
+        this->transport.serve_relayed(
+            this->peer, call, [&replies](const membership::message& value) {
+                replies.push_back(std::get<membership::relay_response>(value));
+            });
+    }
+
+    membership::relay_response serve_relayed(std::uint64_t number)
+    {
+        std::vector<membership::relay_response> replies;
+        this->receive_relayed(number, replies);
+        this->run_until([&replies] { return !replies.empty(); });
+        return replies.front();
     }
 
+    membership::member peer{"other", "z", "127.0.0.1:0", 1};
     boost::asio::io_context context;
     common::real_clock clock;
     common::event_log log{"self"};
@@ -144,3 +151,54 @@
     cr_assert_not(answer.error().may_have_been_done());
     cr_assert(node.serve_relayed(1).status == net::status_unavailable);
 }
+
+Test(store_attempts, a_relayed_write_that_is_executed_and_arrives_again_is_not_rejected)
+{
+    // given: a write whose response was lost with the connection of the peer
+    node_without_peers node;
+    node.store.script = {net::status_ok};
+    cr_assert(node.serve_relayed(1).status == net::status_ok);
+
+    // when: the store rejects the copy that the peer sends on its next connection
+    const auto reply = node.serve_relayed(1);
+
+    // then: it says that the store gave no response
+    cr_assert(node.store.calls == 2);
+    cr_assert(reply.status == 0, "%u", reply.status);
+}
+
+Test(store_attempts, a_relayed_write_that_was_rejected_is_not_executed_when_it_arrives_again)
+{
+    node_without_peers node;
+    node.store.script = {net::status_unavailable, net::status_ok};
+    cr_assert(node.serve_relayed(1).status == net::status_unavailable);
+    cr_assert(node.serve_relayed(1).status == net::status_unavailable);
+    cr_assert(node.store.calls == 1);
+}
+
+Test(store_attempts, a_relayed_write_that_arrives_again_while_it_is_under_way_is_sent_once)
+{
+    // given
+    node_without_peers node;
+    std::vector<membership::relay_response> on_silent_connection;
+    std::vector<membership::relay_response> on_next_connection;
+
+    // when
+    node.receive_relayed(1, on_silent_connection);
+    node.receive_relayed(1, on_next_connection);
+    node.run_until([&] { return !on_next_connection.empty(); });
+
+    // then: the rejection is true of both copies
+    cr_assert(on_next_connection.front().status == net::status_unavailable);
+    cr_assert(on_silent_connection.empty());
+    cr_assert(node.store.calls == 1);
+}
+
+Test(store_attempts, the_next_process_of_a_peer_numbers_its_calls_anew)
+{
+    node_without_peers node;
+    node.store.script = {net::status_unavailable, net::status_ok};
+    cr_assert(node.serve_relayed(1).status == net::status_unavailable);
+    ++node.peer.incarnation;
+    cr_assert(node.serve_relayed(1).status == net::status_ok);
+}
