Keep an unanswered move while its worker is missing from the registry

Entries of workers may expire while the store is down and are back within two seconds. A repetition of an unanswered move that fell due in that time took the worker for gone and forgot the order; the worker came back cordoned, and nobody lifted that. The same if the refusal of a move arrived in that time, because a cordon was lifted for listed workers alone. Change: an unanswered move is forgotten once no cordoned worker of its VM is known, and is not sent while that one is not listed. A cordon is lifted whether the worker is listed or not. Evidence: with the changes taken out, each of the two new tests of fleet_controller fails. With them all 54 tests of daemon pass. Conclusion: a worker that does not come back is forgotten by the scheduler, and the move with it, as before.

--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -319,7 +319,8 @@
 void fleet_controller::cordon_vm(const std::string& vm, bool cordoned)
 {
     for (const auto& [id, worker] : this->dependencies.scheduler.all_workers()) {
-        if (worker.entry.vm == vm && worker.listed) {
+        // A worker that is missing from the registry may be listed again, as it was.
+        if (worker.entry.vm == vm && (worker.listed || !cordoned)) {
             this->dependencies.scheduler.set_cordon(id, cordoned);
         }
     }
@@ -334,12 +335,19 @@
     }
 }
 
-bool fleet_controller::is_cordoned(const std::string& vm) const
+fleet_controller::cordoned_worker
+fleet_controller::find_cordoned_worker(const std::string& vm) const
 {
-    const auto& workers = this->dependencies.scheduler.all_workers();
-    return std::any_of(workers.begin(), workers.end(), [&vm](const auto& each) {
-        return each.second.entry.vm == vm && each.second.listed && each.second.cordoned;
-    });
+    cordoned_worker found = cordoned_worker::none;
+    for (const auto& [id, worker] : this->dependencies.scheduler.all_workers()) {
+        if (worker.entry.vm == vm && worker.cordoned) {
+            if (worker.listed) {
+                return cordoned_worker::listed;
+            }
+            found = cordoned_worker::unlisted;
+        }
+    }
+    return found;
 }
 
 void fleet_controller::order_move(const fleet::vm_move& move)
@@ -387,10 +395,11 @@
     }
     this->next_repeat = now + repeat_interval;
     for (const fleet::vm_move& move : std::exchange(this->unanswered_moves, {})) {
-        if (!this->is_cordoned(move.vm)) {
+        const cordoned_worker worker = this->find_cordoned_worker(move.vm);
+        if (worker == cordoned_worker::none) {
             continue; // the worker that it was for is gone
         }
-        if (this->planner.is_draining_or_down(move.vm)) {
+        if (worker == cordoned_worker::unlisted || this->planner.is_draining_or_down(move.vm)) {
             this->unanswered_moves.push_back(move);
         } else {
             this->send_move(move, true);
--- a/src/daemon/fleet_controller.h
+++ b/src/daemon/fleet_controller.h
@@ -69,6 +69,9 @@
     void tick(common::steady_time now, common::steady_time authority_until);
 
 private:
+    /// A cordoned worker of a VM. One that the registry does not list may be listed again.
+    enum class cordoned_worker { none, unlisted, listed };
+
     void read_previous_holder();
     void handle_previous_holder(const std::optional<store::item>& previous);
     template <typename Action>
@@ -88,7 +91,7 @@
     void order_move(const fleet::vm_move& move);
     void send_move(const fleet::vm_move& move, bool repeated);
     void repeat_unanswered_moves(common::steady_time now);
-    [[nodiscard]] bool is_cordoned(const std::string& vm) const;
+    [[nodiscard]] cordoned_worker find_cordoned_worker(const std::string& vm) const;
     [[nodiscard]] bool has_unanswered_move(const std::string& vm) const;
     void evacuate_vm(const std::string& vm, common::steady_time now);
     void cordon_vm(const std::string& vm, bool cordoned);
--- a/src/daemon/tests/fleet_controller_tests.cpp
+++ b/src/daemon/tests/fleet_controller_tests.cpp
@@ -61,7 +61,11 @@
                  std::function<void(vm_order_outcome)> done) override
     {
         this->moves.push_back({vm, pool});
-        done(this->outcome);
+        if (this->is_slow) {
+            this->held = std::move(done);
+        } else {
+            done(this->outcome);
+        }
     }
 
     void start_maintenance(const std::string&, std::int64_t, const fleet::order_fence&,
@@ -80,6 +84,8 @@
 
     std::vector<fleet::fleet_vm> vms;
     std::vector<fleet::vm_move> moves;
+    bool is_slow = false;
+    std::function<void(vm_order_outcome)> held; ///< of the latest move
     vm_order_outcome outcome = vm_order_outcome::unknown;
 };
 
@@ -120,7 +126,7 @@
     {
         while (this->fixture.now_ms < end_ms) {
             this->fixture.advance(this->fixture.now_ms + 100);
-            if (this->fixture.polls.contains("w1")) {
+            if (this->answers_polls && this->fixture.polls.contains("w1")) {
                 this->fixture.answer_poll("w1", this->running);
             }
             this->controller->tick(this->fixture.now(), time_at(1'000'000));
@@ -134,6 +140,7 @@
 
     scheduler_fixture fixture;
     std::vector<scheduling::reported_run> running;
+    bool answers_polls = true;
     boost::asio::io_context context;
     common::real_clock clock;
     common::event_log log{"n1"};
@@ -202,3 +209,46 @@
     // then
     cr_assert(fleet.machines.moves.size() == orders);
 }
+
+Test(fleet_controller, an_unanswered_move_is_not_forgotten_while_its_worker_is_not_listed)
+{
+    // given
+    controlled_fleet fleet;
+    fleet.run_until(2000);
+    cr_assert(fleet.is_cordoned());
+
+    // when: the worker's entry expires and is back before the worker has answered its poll
+    fleet.answers_polls = false;
+    fleet.run_until(2100);
+    const auto orders = fleet.machines.moves.size();
+    fleet.fixture.under_test.update_workers({}, fleet.fixture.now());
+    fleet.run_until(3000);
+    cr_assert(fleet.machines.moves.size() == orders);
+    fleet.fixture.under_test.update_workers(fleet.fixture.listed, fleet.fixture.now());
+    fleet.answers_polls = true;
+    fleet.machines.outcome = vm_order_outcome::busy;
+    fleet.run_until(4000);
+
+    // then
+    cr_assert(fleet.machines.moves.size() > orders);
+    cr_assert_not(fleet.is_cordoned());
+}
+
+Test(fleet_controller, a_vm_does_not_stay_cordoned_if_its_move_is_refused_while_it_is_not_listed)
+{
+    // given
+    controlled_fleet fleet;
+    fleet.machines.is_slow = true;
+    fleet.run_until(2000);
+    cr_assert(fleet.is_cordoned());
+
+    // when
+    fleet.answers_polls = false;
+    fleet.run_until(2100);
+    fleet.fixture.under_test.update_workers({}, fleet.fixture.now());
+    fleet.machines.held(vm_order_outcome::busy);
+    fleet.fixture.under_test.update_workers(fleet.fixture.listed, fleet.fixture.now());
+
+    // then
+    cr_assert_not(fleet.is_cordoned());
+}
