Give no order for VMs from a list older than the previous holder's last orders

Callers would see one VM more than a wave's cap down for maintenance (LIMIT; found by reading). After a change of the owner the last orders of the previous holder may be of unknown fate, so the next one waits for 3.3 s, and then relies on the list of VMs to show what they have done. The list was of any age: readings are limited apart from orders, so it could be older than these orders while readings got 429. Change: no order is planned until a list was requested after the time from which orders are allowed. Evidence: no_order_follows_from_a_list_older_than_the_orders_of_the_previous_holder fails with the check taken out. Conclusion: a takeover from a holder that closed is unchanged, as its first list is requested after the claim; after an open one the first plan waits for the next list, half a second if readings work.

--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -264,6 +264,9 @@
         now >= authority_until || this->vms.empty() || this->on_closed) {
         return;
     }
+    if (this->vm_list_requested_at < *this->orders_allowed_from) {
+        return; // the list may not show what the last orders of the previous holder have done
+    }
     this->next_plan =
         now + plan_interval + common::milliseconds(this->vms.size() / vms_per_plan_ms);
     if (this->planner.has_open_wave()) {
--- a/src/daemon/tests/fleet_controller_tests.cpp
+++ b/src/daemon/tests/fleet_controller_tests.cpp
@@ -54,7 +54,11 @@
 public:
     void list_vms(std::function<void(common::result<std::vector<fleet::fleet_vm>>)> done) override
     {
-        done(this->vms);
+        if (this->is_listing) {
+            done(this->vms);
+        } else {
+            done(common::make_error(common::errc::unavailable, "list VMs", "", "status 429"));
+        }
     }
 
     void move_vm(const std::string& vm, const std::string& pool, const fleet::order_fence&,
@@ -84,6 +88,7 @@
 
     std::vector<fleet::fleet_vm> vms;
     std::vector<fleet::vm_move> moves;
+    bool is_listing = true;
     bool is_slow = false;
     std::function<void(vm_order_outcome)> held; ///< of the latest move
     vm_order_outcome outcome = vm_order_outcome::unknown;
@@ -91,8 +96,18 @@
 
 /// A pool "main" of one idle worker, and a VM in the standby pool "parked".
 struct controlled_fleet {
-    controlled_fleet() : fixture({make_worker("w1")})
+    /// `previous_holder` is its record in the store; empty: there was none.
+    explicit controlled_fleet(const std::string& previous_holder = {})
+        : fixture({make_worker("w1")})
     {
+        if (!previous_holder.empty()) {
+            cr_assert(
+                this->store.items
+                    .commit({{},
+                             {{std::string(daemon::store_keys::vm_orders), previous_holder, 0}},
+                             {}})
+                    .has_value());
+        }
         fleet::fleet_vm working;
         working.name = "vm-w1";
         working.pool = "main";
@@ -112,7 +127,7 @@
                 this->store,
                 this->machines,
                 this->fixture.under_test,
-                [](const daemon::process_identity&) { return true; },
+                [](const daemon::process_identity&) { return false; },
                 {}},
             daemon::process_identity{"n1", 1}, claimed.value().revision, time_at(0));
         auto configuration = std::make_shared<daemon::fleet_configuration>();
@@ -252,3 +267,20 @@
     // then
     cr_assert_not(fleet.is_cordoned());
 }
+
+Test(fleet_controller, no_order_follows_from_a_list_older_than_the_orders_of_the_previous_holder)
+{
+    // given: a holder that may still have orders in flight, until 3300 ms
+    controlled_fleet fleet(R"(["n2", 1, "open"])");
+    fleet.run_until(3000);
+    fleet.machines.is_listing = false;
+
+    // when
+    fleet.run_until(6000);
+
+    // then
+    cr_assert(fleet.machines.moves.empty());
+    fleet.machines.is_listing = true;
+    fleet.run_until(7000);
+    cr_assert(fleet.machines.has_moved("vm-w1", "parked"));
+}
