Do not let a late copy of a write undo the stored progress of a wave

Callers would see a VM that has had its maintenance drained and ordered once more under the next owner (found by reading). A call to the store is sent again and over a second route when it gets no response, and the store may execute the first copy seconds later. The progress of a wave was written under the condition on the claim alone, so a late copy of an earlier write replaced a later one. Change: each write expects the revision of the wave's entry that it follows. If an earlier attempt was executed, the revisions are taken from the response and the progress is written again. At most 15 waves a write, because each takes a condition now and a transaction has 32 entries. Evidence: a_late_copy_of_a_write_does_not_undo_the_progress_of_a_wave fails with the condition taken out.

--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -31,6 +31,10 @@
 /// Each plan looks at all VMs, so the interval grows by a millisecond for so many of them.
 constexpr std::size_t vms_per_plan_ms = 10;
 
+/// Waves whose progress fits into one transaction: each takes a condition and a value, beside the
+/// condition on the claim.
+constexpr std::size_t max_waves_per_write = 15;
+
 } // namespace
 
 fleet_controller::fleet_controller(fleet_controller_dependencies injected,
@@ -184,9 +188,10 @@
 void fleet_controller::restore_wave_progress(const store::item& stored)
 {
     try {
+        const std::int64_t wave = std::stoll(stored.key.substr(store_keys::waves.size()));
+        this->progress_revisions[wave] = stored.revision;
         const auto value = nlohmann::json::parse(stored.value);
-        this->planner.restore(std::stoll(stored.key.substr(store_keys::waves.size())),
-                              value.at("serviced").get<std::set<std::string>>(),
+        this->planner.restore(wave, value.at("serviced").get<std::set<std::string>>(),
                               value.at("completed").get<bool>());
     } catch (const std::exception& failure) {
         // Maintenance orders of this wave may be repeated, which is harmless.
@@ -210,32 +215,64 @@
     this->writing_progress = true;
     store::transaction changes;
     changes.expected.push_back({std::string(store_keys::claim), this->fence.token});
-    const auto written = std::exchange(this->unsaved_progress, {});
+    std::map<std::int64_t, bool> written;
+    while (!this->unsaved_progress.empty() && written.size() < max_waves_per_write) {
+        written.insert(this->unsaved_progress.extract(this->unsaved_progress.begin()));
+    }
     for (const auto& [wave, completed] : written) {
+        const std::string key = store_keys::make_key(store_keys::waves, std::to_string(wave));
         const nlohmann::json value{{"serviced", this->planner.started_vms(wave)},
                                    {"completed", completed}};
-        changes.set.push_back(
-            {store_keys::make_key(store_keys::waves, std::to_string(wave)), value.dump(), 0});
+        // A copy of an earlier write that is executed late must not replace this one.
+        changes.expected.push_back({key, this->progress_revisions[wave]});
+        changes.set.push_back({key, value.dump(), 0});
     }
     const std::weak_ptr<int> alive = this->lifetime;
     this->dependencies.store.commit(
-        changes, [this, alive, written](common::result<store::commit_outcome> outcome) {
+        changes, [this, alive, written](const common::result<store::commit_outcome>& outcome) {
             if (alive.expired()) {
                 return;
             }
             this->writing_progress = false;
-            if (!outcome) {
-                this->dependencies.log.write(event_id::journal_failed,
-                                             {{"error", outcome.error().to_string()}});
-                this->unsaved_progress.insert(written.begin(), written.end());
-                this->run_after(store_retry_delay, [this] { this->write_progress(); });
+            if (this->handle_progress_result(written, outcome)) {
+                this->write_progress();
+                this->close_if_done();
                 return;
             }
-            this->write_progress();
-            this->close_if_done();
+            this->unsaved_progress.insert(written.begin(), written.end());
+            this->run_after(store_retry_delay, [this] { this->write_progress(); });
         });
 }
 
+bool fleet_controller::handle_progress_result(const std::map<std::int64_t, bool>& written,
+                                              const common::result<store::commit_outcome>& outcome)
+{
+    if (!outcome) {
+        this->dependencies.log.write(event_id::journal_failed,
+                                     {{"error", outcome.error().to_string()}});
+        return false;
+    }
+    if (outcome.value().committed) {
+        for (const auto& [wave, completed] : written) {
+            this->progress_revisions[wave] = outcome.value().revision;
+        }
+        return true;
+    }
+    // Either an earlier attempt of this write was executed, or the claim is lost.
+    bool claim_held = false;
+    std::map<std::string, std::int64_t> revisions;
+    for (const store::item& each : outcome.value().current) {
+        revisions[each.key] = each.revision;
+        claim_held =
+            claim_held || (each.key == store_keys::claim && each.revision == this->fence.token);
+    }
+    for (const auto& [wave, completed] : written) {
+        this->progress_revisions[wave] =
+            revisions[store_keys::make_key(store_keys::waves, std::to_string(wave))];
+    }
+    return !claim_held;
+}
+
 void fleet_controller::configure(std::shared_ptr<const fleet_configuration> newer)
 {
     this->configuration = std::move(newer);
--- a/src/daemon/fleet_controller.h
+++ b/src/daemon/fleet_controller.h
@@ -84,6 +84,9 @@
     void restore_wave_progress(const store::item& stored);
     void save_progress(std::int64_t wave, bool completed);
     void write_progress();
+    /// Returns whether nothing is left to be written.
+    bool handle_progress_result(const std::map<std::int64_t, bool>& written,
+                                const common::result<store::commit_outcome>& outcome);
     void read_vm_list(common::steady_time now);
     void execute(const maintenance::wave_step& step, common::steady_time now);
     void order_maintenance(const maintenance::wave_step& step);
@@ -110,6 +113,7 @@
     bool closing = false;
     /// Whether each wave is completed, by wave number.
     std::map<std::int64_t, bool> unsaved_progress;
+    std::map<std::int64_t, std::int64_t> progress_revisions; ///< in the store, by wave number
     bool writing_progress = false;
     std::shared_ptr<const fleet_configuration> configuration;
     maintenance::wave_planner planner;
--- a/src/daemon/tests/fleet_controller_tests.cpp
+++ b/src/daemon/tests/fleet_controller_tests.cpp
@@ -31,6 +31,7 @@
     void commit(const store::transaction& changes,
                 store::handler<store::commit_outcome> done) override
     {
+        this->commits.push_back(changes);
         done(this->items.commit(changes));
     }
 
@@ -47,6 +48,7 @@
     }
 
     fakes::revision_store items;
+    std::vector<store::transaction> commits;
 };
 
 /// Answers each move with the same outcome.
@@ -73,8 +75,9 @@
     }
 
     void start_maintenance(const std::string&, std::int64_t, const fleet::order_fence&,
-                           std::function<void(vm_order_outcome)>) override
+                           std::function<void(vm_order_outcome)> done) override
     {
+        done(vm_order_outcome::accepted);
     }
 
     void report_wave(std::int64_t, bool, std::function<void(common::result<bool>)>) override
@@ -284,3 +287,23 @@
     fleet.run_until(7000);
     cr_assert(fleet.machines.has_moved("vm-w1", "parked"));
 }
+
+Test(fleet_controller, a_late_copy_of_a_write_does_not_undo_the_progress_of_a_wave)
+{
+    // given: two VMs whose maintenance has started, each of which was stored
+    controlled_fleet fleet;
+    fleet.controller->set_waves({{7, {"vm-w1", "vm-spare"}, std::chrono::seconds(20), 2}});
+    fleet.run_until(1000);
+    const std::string key = daemon::store_keys::make_key(daemon::store_keys::waves, "7");
+    std::vector<store::transaction> writes;
+    std::copy_if(fleet.store.commits.begin(), fleet.store.commits.end(), std::back_inserter(writes),
+                 [&key](const store::transaction& each) {
+                     return !each.set.empty() && each.set.front().key == key;
+                 });
+    cr_assert(writes.size() == 2);
+
+    // when, then
+    cr_assert_not(fleet.store.items.commit(writes.front()).value().committed);
+    cr_assert(fleet.store.items.read(key)->value.find("vm-w1") != std::string::npos);
+    cr_assert(fleet.store.items.read(key)->value.find("vm-spare") != std::string::npos);
+}
