Follow up a claim that is seen after its lost response

Callers would see nothing move for the lifetime of a lease, 1.5 s (found by reading). If the write of the claim got no response, it is tried again after a moment, and the conflict tells that the claim is one's own. If the watch showed the claim before that, the attempt was dropped as if another node held it: the node neither acted as the owner nor renewed, until the lease ended. Change: an attempt of unknown fate is remembered, and a claim of the own name seen after it does not cancel the next attempt. Evidence: a_claim_that_is_seen_after_its_lost_response_is_not_left_to_expire fails with the code as it was. Conclusion: a claim of an earlier process of this node is told apart by its lease, as before.

--- a/src/ownership/claim_manager.cpp
+++ b/src/ownership/claim_manager.cpp
@@ -18,7 +18,12 @@
     this->claim_known = true;
     this->latest = std::move(record);
     if (this->latest) {
-        this->next_attempt.reset();
+        if (this->claim_uncertain && this->latest->holder == this->self) {
+            // Possibly created by the attempt that got no response; the next one tells.
+            this->next_attempt = this->next_attempt.value_or(now);
+        } else {
+            this->next_attempt.reset();
+        }
         if (this->own_token && this->latest->token > *this->own_token) {
             this->clear_lease();
         }
@@ -57,6 +62,7 @@
         this->actions.emplace_back(create_claim{this->lease});
     } else {
         this->lease = 0;
+        this->claim_uncertain = false;
         this->actions.emplace_back(grant_lease{this->options.time_to_live});
     }
 }
@@ -79,6 +85,7 @@
                                       std::uint64_t record_lease, common::steady_time now)
 {
     this->call_in_flight = false;
+    this->claim_uncertain = outcome == call_outcome::unknown;
     if (outcome == call_outcome::refused) {
         this->lease = 0;
         this->schedule_attempt(now, this->options.retry_delay);
--- a/src/ownership/claim_manager.h
+++ b/src/ownership/claim_manager.h
@@ -126,6 +126,7 @@
     common::milliseconds lease_duration{0};
     common::steady_time lease_expiry;
     std::optional<std::int64_t> own_token;
+    bool claim_uncertain = false; ///< an attempt under `lease` got no response
     bool call_in_flight = false;
     std::optional<common::steady_time> next_attempt;
     common::steady_time next_renewal;
--- a/src/ownership/tests/claim_manager_tests.cpp
+++ b/src/ownership/tests/claim_manager_tests.cpp
@@ -138,6 +138,28 @@
     cr_assert(manager.token() == 7);
 }
 
+Test(claim_manager, a_claim_that_is_seen_after_its_lost_response_is_not_left_to_expire)
+{
+    // given
+    claim_manager manager("node-1", claim_options{}, 1);
+    manager.observe_claim(std::nullopt, at(0));
+    manager.tick(at(100));
+    manager.take_actions();
+    manager.on_lease_response(5, milliseconds(1500), at(100), at(105));
+    manager.tick(at(105));
+    manager.take_actions();
+    manager.on_claim_response(call_outcome::unknown, std::nullopt, 0, at(500));
+
+    // when: the watch shows the claim that the attempt has created
+    manager.observe_claim(claim_record{"node-1", "a", 7}, at(510));
+    manager.tick(at(800));
+
+    // then: another attempt tells under which lease
+    cr_assert(take_single_action<create_claim>(manager).has_value());
+    manager.on_claim_response(call_outcome::done, claim_record{"node-1", "a", 7}, 5, at(810));
+    cr_assert(manager.token() == 7);
+}
+
 Test(claim_manager, a_claim_of_an_earlier_process_of_the_same_name_is_not_its_own)
 {
     // given
