Tell peers that connect of jobs of unknown fate, and let reads be rejected

Cause, found by the review of: a peer whose connection was made anew had missed announcements; one that does not respond was not taken for lost; a rejected repetition of a watch was no longer 'unavailable', so that in an outage each node would read all its items again instead of resuming. Change: a connecting peer is told all remembered ids; a silent one opens a gap; an id that was answered 504 is remembered anew; a rejected repetition of a GET, which has no effect, is a rejection as before.

--- a/src/admission/tests/unconfirmed_submissions_tests.cpp
+++ b/src/admission/tests/unconfirmed_submissions_tests.cpp
@@ -45,6 +45,15 @@
     cr_assert(jobs.excludes("j1", informed + 3 * window));
 }
 
+Test(unconfirmed_submissions, a_peer_that_connects_is_told_what_is_remembered)
+{
+    unconfirmed_submissions jobs(start);
+    jobs.add("j1", informed);
+    jobs.add("j2", informed + window / 2);
+    const std::vector<std::string> expected{"j2"};
+    cr_assert(jobs.remembered(informed + window) == expected);
+}
+
 Test(unconfirmed_submissions, a_job_that_had_to_be_forgotten_is_not_excluded)
 {
     unconfirmed_submissions jobs(start);
--- a/src/admission/unconfirmed_submissions.cpp
+++ b/src/admission/unconfirmed_submissions.cpp
@@ -24,6 +24,17 @@
     }
 }
 
+std::vector<std::string> unconfirmed_submissions::remembered(common::steady_time now) const
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, ends_at] : this->end_by_id) {
+        if (ends_at > now) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 void unconfirmed_submissions::handle_peer_lost(const std::string& peer, common::steady_time now)
 {
     this->lost_peers.insert(peer);
--- a/src/admission/unconfirmed_submissions.h
+++ b/src/admission/unconfirmed_submissions.h
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "common/clock.h"
 
@@ -26,6 +27,9 @@
     /// Remembers a job of which a write got no response. Precondition: time does not go back.
     void add(const std::string& id, common::steady_time now);
 
+    /// Returns the jobs that are remembered, for a peer that may not have been told of them.
+    [[nodiscard]] std::vector<std::string> remembered(common::steady_time now) const;
+
     /// Handles that a peer was lost: nobody tells of its writes that got no response.
     void handle_peer_lost(const std::string& peer, common::steady_time now);
 
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -100,11 +100,21 @@
 void fleet_node::peer_connected(const membership::member& peer)
 {
     this->incarnations[peer.name] = peer.incarnation;
-    this->unconfirmed.handle_peer_connected(peer.name, this->dependencies.clock.steady_now());
+    const auto now = this->dependencies.clock.steady_now();
+    this->unconfirmed.handle_peer_connected(peer.name, now);
+    if (const auto ids = this->unconfirmed.remembered(now); !ids.empty()) {
+        this->dependencies.network.send(peer.name, make_announcement(ids),
+                                        membership::delivery::at_least_once);
+    }
     this->dependencies.peers.on_peer_connected(peer.name);
     this->workers.on_peer_connected(peer);
 }
 
+void fleet_node::peer_silent(const std::string& peer)
+{
+    this->unconfirmed.handle_peer_lost(peer, this->dependencies.clock.steady_now());
+}
+
 void fleet_node::peer_lost(const membership::member& peer)
 {
     this->unconfirmed.handle_peer_lost(peer.name, this->dependencies.clock.steady_now());
@@ -235,14 +245,19 @@
     answer(this->handle_owner_call(*call));
 }
 
-void fleet_node::announce_unconfirmed(const std::vector<std::string>& ids)
+membership::relay_call fleet_node::make_announcement(const std::vector<std::string>& ids)
 {
     membership::relay_call call;
     call.number = number_without_response;
     call.method = "POST";
     call.target = std::string(unconfirmed_target);
     call.body = nlohmann::json(ids).dump();
-    this->dependencies.network.send_to_all(call);
+    return call;
+}
+
+void fleet_node::announce_unconfirmed(const std::vector<std::string>& ids)
+{
+    this->dependencies.network.send_to_all(make_announcement(ids));
 }
 
 void fleet_node::handle_unconfirmed(const std::string& peer, const std::string& body)
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -89,6 +89,9 @@
     void peer_connected(const membership::member& peer);
     void peer_lost(const membership::member& peer);
 
+    /// Records that a peer does not respond on its connection.
+    void peer_silent(const std::string& peer);
+
     /// Handles a message from a peer.
     void handle_message(const membership::member& peer, const membership::message& value,
                         const membership::response_sender& answer);
@@ -101,6 +104,8 @@
 
 private:
     [[nodiscard]] bool has_ended(const process_identity& process) const;
+    [[nodiscard]] static membership::relay_call
+    make_announcement(const std::vector<std::string>& ids);
     void announce_unconfirmed(const std::vector<std::string>& ids);
     void handle_unconfirmed(const std::string& peer, const std::string& body);
     bool handle_order_message(const membership::member& peer, const membership::relay_call& call);
--- a/src/daemon/job_frontend.cpp
+++ b/src/daemon/job_frontend.cpp
@@ -225,6 +225,7 @@
     if (call_result == job_call_result::rejected && !this->is_refusal_certain(each.job.id)) {
         call_result = job_call_result::unknown;
         each.failure += "; an earlier submission may have been stored";
+        this->unconfirmed.add(each.job.id, this->clock.steady_now()); // its caller may come again
     }
     nlohmann::json fields{{"job", each.job.id},
                           {"queue", each.job.queue},
--- a/src/daemon/store_transport.cpp
+++ b/src/daemon/store_transport.cpp
@@ -275,9 +275,9 @@
                                             : not_sent ? "not_sent"
                                                        : "no_response");
     this->handle_route_failure(pending, !answered && !not_sent, "via " + peer,
-                               answer.has_value()
-                                   ? "status " + std::to_string(answer.value().status)
-                                   : answer.error().to_string());
+                               !answer.has_value() ? answer.error().to_string()
+                               : answered ? "status " + std::to_string(answer.value().status)
+                                          : "the store did not respond to the peer");
 }
 
 store_transport::relayed_calls& store_transport::relayed_calls_of(const membership::member& peer)
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -428,7 +428,8 @@
         if (received.keep_alive()) {
             this->connections->give_back(this->peer, std::move(this->current->used));
         }
-        if (this->is_repeated && is_rejection(received.result_int())) {
+        const bool is_read = this->current->message.method() == http::verb::get;
+        if (this->is_repeated && !is_read && is_rejection(received.result_int())) {
             this->finish(make_error(errc::connection_lost, "receive answer", this->peer.to_string(),
                                     "status " + std::to_string(received.result_int()) +
                                         " to the second copy, no response to the first"));
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -27,7 +27,8 @@
     common::milliseconds limit{0};
     /// The request is sent again on a new connection if the kept one is silent or was lost.
     /// Requires that the peer may act on the request twice. Otherwise the call fails. A rejection
-    /// (429 or 503) of the repeated request is an error, because it says nothing of the first copy.
+    /// (429 or 503) of the repeated request is an error, because it says nothing of the first copy,
+    /// except of a GET, which has no effect.
     bool repeats = false;
     /// The body of the repeated request; unset: the same as before.
     std::optional<std::string> repeated_body;
