Do not record an order without an answer as ended when the owner resigns

An owner that resigns records that none of its orders is in flight, and the next holder then begins at once. An order that had got no response counted as ended, although a slow platform may still carry it out. Evidence: an_order_without_an_answer_is_not_recorded_as_ended fails with the change taken out; the_next_holder_may_begin_at_once_after_orders_that_were_answered is a guard. Conclusion: costs a delay of VM orders only after such an order.

--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -140,6 +140,10 @@
         std::exchange(this->on_closed, nullptr)();
         return; // no orders were sent, so the previous holder's record remains
     }
+    if (this->dependencies.clock.steady_now() < this->orders_in_flight_until) {
+        std::exchange(this->on_closed, nullptr)();
+        return; // the next holder has to wait
+    }
     store::transaction changes;
     changes.expected.push_back({std::string(store_keys::claim), this->fence.token});
     changes.set.push_back(
@@ -153,9 +157,13 @@
     });
 }
 
-void fleet_controller::finish_order()
+void fleet_controller::finish_order(fleet::vm_order_outcome outcome)
 {
     --this->pending_orders;
+    if (outcome == fleet::vm_order_outcome::unknown) {
+        this->orders_in_flight_until =
+            this->dependencies.clock.steady_now() + this->dependencies.options.handover_delay;
+    }
     this->close_if_done();
 }
 
@@ -406,7 +414,7 @@
             if (alive.expired()) {
                 return;
             }
-            this->finish_order();
+            this->finish_order(vm_outcome);
             const bool accepted = vm_outcome == fleet::vm_order_outcome::accepted;
             this->dependencies.log.write(accepted ? event_id::vm_ordered
                                                   : event_id::vm_order_failed,
@@ -553,7 +561,7 @@
             if (accepted) {
                 this->save_progress(step.wave, false);
             }
-            this->finish_order();
+            this->finish_order(vm_outcome);
         });
 }
 
--- a/src/daemon/fleet_controller.h
+++ b/src/daemon/fleet_controller.h
@@ -62,7 +62,7 @@
     void set_waves(const std::vector<maintenance::wave_request>& requested);
 
     /// Stops sending orders, and calls `closed` once none is pending and the store records this.
-    /// The next holder may then start immediately.
+    /// The next holder may then start immediately, unless an order got no response.
     void close(std::function<void()> closed);
 
     /// Plans and sends the orders that are due. No orders are sent after `authority_until`.
@@ -79,7 +79,7 @@
     [[nodiscard]] std::string encode_holder_record(std::string_view state) const;
     void close_if_done();
     void finish_close();
-    void finish_order();
+    void finish_order(fleet::vm_order_outcome outcome);
     void read_wave_progress(const std::string& after);
     void restore_wave_progress(const store::item& stored);
     void save_progress(std::int64_t wave, bool completed);
@@ -109,6 +109,7 @@
     common::steady_time claimed_at;
     std::optional<common::steady_time> orders_allowed_from; ///< empty: not known yet
     std::int64_t pending_orders = 0;
+    common::steady_time orders_in_flight_until; ///< orders that got no response may be executed
     std::function<void()> on_closed;
     bool closing = false;
     /// Whether each wave is completed, by wave number.
--- a/src/daemon/tests/fleet_controller_tests.cpp
+++ b/src/daemon/tests/fleet_controller_tests.cpp
@@ -151,6 +151,16 @@
         }
     }
 
+    /// Closes the controller and returns whether the next holder may give orders at once.
+    bool close()
+    {
+        bool closed = false;
+        this->controller->close([&closed] { closed = true; });
+        cr_assert(closed);
+        const auto record = this->store.items.read(std::string(daemon::store_keys::vm_orders));
+        return record->value.find("closed") != std::string::npos;
+    }
+
     [[nodiscard]] bool is_cordoned() const
     {
         return this->fixture.under_test.all_workers().at("w1").cordoned;
@@ -307,3 +317,23 @@
     cr_assert(fleet.store.items.read(key)->value.find("vm-w1") != std::string::npos);
     cr_assert(fleet.store.items.read(key)->value.find("vm-spare") != std::string::npos);
 }
+
+Test(fleet_controller, an_order_without_an_answer_is_not_recorded_as_ended)
+{
+    // given
+    controlled_fleet fleet;
+    fleet.run_until(2000);
+    cr_assert(fleet.machines.has_moved("vm-w1", "parked"));
+
+    // when, then
+    cr_assert_not(fleet.close());
+}
+
+Test(fleet_controller, the_next_holder_may_begin_at_once_after_orders_that_were_answered)
+{
+    controlled_fleet fleet;
+    fleet.machines.outcome = vm_order_outcome::accepted;
+    fleet.run_until(2000);
+    cr_assert(fleet.machines.has_moved("vm-w1", "parked"));
+    cr_assert(fleet.close());
+}
