Ask the advice service for one step after the other, the longest waiting first

Cause: each step that needed tickets asked by itself, and again 1.5 s later while its earlier call, given up after 2.5 s, was still waiting at the service. The service handles one call at a time, so a burst filled its line with calls that nobody waited for, and it rejected the others. Callers saw jobs that did not start while workers were idle. A call also named the first 30 workers by id, so a step allowed on others only never got a ticket, and a step whose allowed workers were full asked for no others while its tickets were valid.

Change: `advice_backlog` holds the steps that need tickets and chooses the next call: the step that has waited longest of those that the last round of dispatch could have started. Two calls are under way, one until the service has shown that it answers quickly; after a failed call they pause for 100 ms, doubling to 1.6 s, and the step goes behind the others. A call names ten workers while other steps wait, else thirty: those with room first, without those that the service has already judged for the step, and not those without the required label. Tickets are kept by worker instance and expire one by one; a planned start whose ticket has expired is withdrawn.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -33,6 +33,11 @@
            worker.missed_polls == 0 && now >= worker.blocked_until;
 }
 
+bool has_label(const worker_entry& worker, const std::string& label)
+{
+    return label.empty() || worker.kind == label || worker.rack == label;
+}
+
 std::optional<double> placement_cost(const worker_state& worker, const placement_request& request,
                                      const step_neighbours& neighbours,
                                      const teams::resources& reserved, common::steady_time now)
@@ -43,8 +48,7 @@
     if (!free.can_fit(request.size) || entry.pool != request.pool) {
         return std::nullopt;
     }
-    if (!request.required_label.empty() && entry.kind != request.required_label &&
-        entry.rack != request.required_label) {
+    if (!has_label(entry, request.required_label)) {
         return std::nullopt;
     }
     if (!request.required_rack.empty() && entry.rack != request.required_rack) {
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -36,6 +36,10 @@
 /// cordoned and not blocked after a rejected start. Thread safe.
 bool is_usable(const worker_state& worker, common::steady_time now);
 
+/// Returns whether a worker has a label that a step requires; an empty one requires nothing. Thread
+/// safe.
+bool has_label(const worker_entry& worker, const std::string& label);
+
 /// Returns the cost of placing a task on a worker (lowest is best), or nothing if the worker can
 /// not run the task. Precondition: `is_usable`. Thread safe.
 std::optional<double> placement_cost(const worker_state& worker, const placement_request& request,
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "fleet/pool_planner.h"
+#include "scheduling/advice_backlog.h"
 #include "scheduling/best_effort_throttle.h"
 #include "scheduling/crash_ledger.h"
 #include "scheduling/dispatch_round.h"
@@ -180,10 +181,17 @@
         std::int64_t done = 0;
     };
 
+    /// What the advice service has said of the workers of a step.
     struct ticket_cache {
-        common::steady_time retry_at;
-        common::steady_time valid_until;
-        std::map<std::string, std::string> tickets;
+        /// A worker that it has allowed or not.
+        struct advised_worker {
+            std::int64_t started_at_ms = 0; ///< the instance that was named
+            common::steady_time valid_until;
+        };
+        std::map<std::string, std::string> tickets;    ///< that are valid, by worker
+        std::map<std::string, advised_worker> advised; ///< by id
+        std::vector<worker_instance> named;            ///< in the latest call
+        std::optional<common::steady_time> expired_at; ///< when old advice was last removed
     };
 
     /// What happened to a job under this owner, for the log line at its end.
@@ -217,7 +225,7 @@
         job_progress progress;
         std::vector<std::vector<step_count>> counts; ///< by occurrence and step
         bool final_is_durable = false;
-        std::map<std::pair<std::int64_t, jobs::step_index>, ticket_cache> advice;
+        std::map<std::pair<std::int64_t, jobs::step_index>, ticket_cache> tickets;
         std::map<jobs::task_id, charged_failures> failures_by_task;
     };
 
@@ -333,8 +341,18 @@
     void plan_run(active_job& job, const jobs::task_id& task, std::int64_t run,
                   worker_state& worker, common::steady_time now);
     void send_start(const jobs::task_id& task, open_run& run, common::steady_time now);
-    ticket_cache* find_tickets(active_job& job, std::int64_t occurrence, jobs::step_index step,
-                               common::steady_time now);
+    const ticket_cache* find_tickets(active_job& job, std::int64_t occurrence,
+                                     jobs::step_index step, common::steady_time now);
+    [[nodiscard]] static const std::string*
+    find_ticket(const active_job& job, const jobs::task_id& task, const worker_instance& worker);
+    void want_tickets(active_job& job, std::int64_t occurrence, jobs::step_index step,
+                      common::steady_time now);
+    [[nodiscard]] static bool is_worth_asking_for(const worker_state& worker,
+                                                  const jobs::step& step,
+                                                  const ticket_cache& known);
+    [[nodiscard]] std::vector<worker_instance>
+    choose_advised_workers(const active_job& job, const step_id& step, common::steady_time now);
+    void ask_for_advice(common::steady_time now);
     [[nodiscard]] rank rank_of(active_job& job, std::int64_t unix_ms) const;
     void flush_journal(common::steady_time now);
     void flush_lane(std::size_t number, common::steady_time now);
@@ -374,6 +392,7 @@
     std::int64_t last_unix_ms = 0;
     duration_estimator durations;
     best_effort_throttle throttle;
+    advice_backlog needed_advice;
     crash_ledger unexplained_losses;
     crash_rate recent_crashes;
     /// Long-running tasks that are not to be started before a time, because they crash workers.
--- a/src/scheduling/scheduler_crashes.cpp
+++ b/src/scheduling/scheduler_crashes.cpp
@@ -243,9 +243,7 @@
     worker_state* best = nullptr;
     for (worker_state* each : usable) {
         const worker_entry& entry = each->entry;
-        const bool allowed = !each->isolated_task &&
-                             (step.required_label.empty() || entry.kind == step.required_label ||
-                              entry.rack == step.required_label) &&
+        const bool allowed = !each->isolated_task && has_label(entry, step.required_label) &&
                              (tickets == nullptr || tickets->tickets.contains(entry.instance.id));
         if (!allowed || (best != nullptr && best->runs.size() <= each->runs.size())) {
             continue;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -26,12 +26,6 @@
 /// A timed occurrence starts this long after its due time, because clocks differ.
 constexpr std::int64_t due_margin_ms = 30;
 
-/// The advice service needs time for each worker in a request.
-constexpr std::size_t max_advised_workers = 30;
-
-/// The advice service is asked again after this time without a response.
-constexpr common::milliseconds advice_retry_interval{1500};
-
 /// A ticket is not used within this time before its expiry.
 constexpr common::milliseconds ticket_expiry_margin{300};
 
@@ -150,6 +144,7 @@
     this->totals.jobs_ranked += ranked_jobs.size();
     this->index_pools();
     this->round.emplace(*this->workers_by_pool, now);
+    this->needed_advice.begin_round();
     for (const auto& [ignored, job] : ranked_jobs) {
         for (std::int64_t k = 0; k < job->spec.occurrences(); ++k) {
             if (job->spec.repeats > 0 && job->spec.due_ms(k) + due_margin_ms > unix_ms) {
@@ -161,6 +156,7 @@
         }
     }
     this->round.reset();
+    this->ask_for_advice(now);
 }
 
 bool scheduler::has_dispatchable_step(const active_job& job) const
@@ -301,46 +297,167 @@
     return best;
 }
 
-scheduler::ticket_cache* scheduler::find_tickets(active_job& job, std::int64_t occurrence,
-                                                 jobs::step_index step, common::steady_time now)
+const scheduler::ticket_cache* scheduler::find_tickets(active_job& job, std::int64_t occurrence,
+                                                       jobs::step_index step,
+                                                       common::steady_time now)
 {
-    ticket_cache& cache = job.advice[{occurrence, step}];
-    if (now < cache.valid_until) {
-        return &cache;
+    ticket_cache& cache = job.tickets[{occurrence, step}];
+    if (cache.expired_at != now) {
+        cache.expired_at = now;
+        std::erase_if(cache.advised, [&](const auto& each) {
+            const auto worker = this->workers.find(each.first);
+            const bool is_gone =
+                worker == this->workers.end() ||
+                worker->second.entry.instance.started_at_ms != each.second.started_at_ms;
+            const bool is_old = is_gone || now >= each.second.valid_until;
+            if (is_old) {
+                cache.tickets.erase(each.first);
+            }
+            return is_old;
+        });
     }
-    if (now < cache.retry_at) {
+    return cache.tickets.empty() ? nullptr : &cache;
+}
+
+const std::string* scheduler::find_ticket(const active_job& job, const jobs::task_id& task,
+                                          const worker_instance& worker)
+{
+    const auto known = job.tickets.find({task.occurrence, task.step});
+    if (known == job.tickets.end()) {
         return nullptr;
     }
-    advice_request request{job.spec.id, occurrence, step, {}};
+    const auto ticket = known->second.tickets.find(worker.id);
+    return ticket == known->second.tickets.end() ? nullptr : &ticket->second;
+}
+
+bool scheduler::is_worth_asking_for(const worker_state& worker, const jobs::step& step,
+                                    const ticket_cache& known)
+{
+    return !worker.isolated_task && has_label(worker.entry, step.required_label) &&
+           !known.advised.contains(worker.entry.instance.id);
+}
+
+void scheduler::want_tickets(active_job& job, std::int64_t occurrence, jobs::step_index step,
+                             common::steady_time now)
+{
+    const jobs::step& spec = job.spec.steps.at(step);
     const std::string& pool = this->policy_of(job).pool;
-    const teams::resources size = footprint(job.spec.steps.at(step));
-    for (const auto& [id, worker] : this->workers) {
-        if (worker.entry.pool == pool && is_usable(worker, now) && worker.free().can_fit(size) &&
-            request.workers.size() < max_advised_workers) {
-            request.workers.push_back(id);
+    const teams::resources size = footprint(spec);
+    if (this->round->fits_nowhere(pool, size)) {
+        return;
+    }
+    const ticket_cache& known = job.tickets[{occurrence, step}];
+    bool fits_somewhere = false;
+    for (const worker_state* each : this->round->usable_in(pool)) {
+        if (!each->has_room_for(size)) {
+            continue;
         }
+        fits_somewhere = true;
+        if (is_worth_asking_for(*each, spec, known)) {
+            this->needed_advice.add({job.spec.id, occurrence, step}, now);
+            return;
+        }
+    }
+    if (!fits_somewhere) {
+        this->round->mark_fits_nowhere(pool, size);
     }
-    if (!request.workers.empty()) {
-        cache.retry_at = now + advice_retry_interval;
+}
+
+std::vector<worker_instance> scheduler::choose_advised_workers(const active_job& job,
+                                                               const step_id& step,
+                                                               common::steady_time now)
+{
+    const jobs::step& spec = job.spec.steps.at(step.step);
+    const ticket_cache& known = job.tickets.at({step.occurrence, step.step});
+    const teams::resources size = footprint(spec);
+    this->index_pools();
+    const auto pool = this->workers_by_pool->find(this->policy_of(job).pool);
+    if (pool == this->workers_by_pool->end()) {
+        return {};
+    }
+    const auto is_candidate = [&](const worker_state* each) {
+        return is_usable(*each, now) && is_worth_asking_for(*each, spec, known);
+    };
+    if (std::none_of(pool->second.begin(), pool->second.end(), [&](const worker_state* each) {
+            return each->has_room_for(size) && is_candidate(each);
+        })) {
+        return {};
+    }
+    // Those with room near the data first, then others with room, then those that may have room
+    // while the tickets are valid.
+    enum preference { near_data, with_room, without_room };
+    std::vector<std::pair<preference, const worker_state*>> candidates;
+    for (const worker_state* each : pool->second) {
+        if (is_candidate(each)) {
+            const bool is_near = each->entry.rack == spec.preferred_rack;
+            candidates.emplace_back(!each->has_room_for(size) ? without_room
+                                    : is_near                 ? near_data
+                                                              : with_room,
+                                    each);
+        }
+    }
+    // Steps name different workers first, or all would get tickets for the same few.
+    const std::size_t offset = std::hash<std::string>{}(step.job) + step.step;
+    std::rotate(candidates.begin(),
+                candidates.begin() + static_cast<std::ptrdiff_t>(offset % candidates.size()),
+                candidates.end());
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const auto& left, const auto& right) { return left.first < right.first; });
+    candidates.resize(std::min(candidates.size(), this->needed_advice.max_workers()));
+    std::vector<worker_instance> chosen;
+    chosen.reserve(candidates.size());
+    for (const auto& [ignored, worker] : candidates) {
+        chosen.push_back(worker->entry.instance);
+    }
+    return chosen;
+}
+
+void scheduler::ask_for_advice(common::steady_time now)
+{
+    if (!this->may_start(now) || !this->needed_advice.may_call(now)) {
+        return;
+    }
+    for (const step_id& step : this->needed_advice.oldest_first()) {
+        active_job* job = this->find_job(step.job);
+        if (job == nullptr || jobs::is_final(job->progress.state)) {
+            continue;
+        }
+        std::vector<worker_instance> named = this->choose_advised_workers(*job, step, now);
+        if (named.empty()) {
+            continue;
+        }
+        advice_request request{step.job, step.occurrence, step.step, {}};
+        for (const worker_instance& each : named) {
+            request.workers.push_back(each.id);
+        }
+        job->tickets.at({step.occurrence, step.step}).named = std::move(named);
+        this->needed_advice.handle_request(step, now);
         this->actions.emplace_back(std::move(request));
+        if (!this->needed_advice.may_call(now)) {
+            return;
+        }
     }
-    return nullptr;
 }
 
 void scheduler::handle_advice(const advice_response& answer, common::steady_time now)
 {
     this->last_now = now;
+    this->needed_advice.handle_response({answer.job, answer.occurrence, answer.step},
+                                        answer.tickets.has_value(), now);
     active_job* job = this->find_job(answer.job);
-    if (job == nullptr) {
-        return;
-    }
-    ticket_cache& cache = job->advice[{answer.occurrence, answer.step}];
-    if (answer.tickets) {
-        cache.tickets = *answer.tickets;
-        cache.valid_until = now + answer.valid - ticket_expiry_margin;
-        cache.retry_at = now;
+    if (job != nullptr && answer.tickets) {
+        ticket_cache& cache = job->tickets[{answer.occurrence, answer.step}];
+        const common::steady_time valid_until = now + answer.valid - ticket_expiry_margin;
+        for (const worker_instance& each : std::exchange(cache.named, {})) {
+            cache.advised[each.id] = {each.started_at_ms, valid_until};
+            const auto ticket = answer.tickets->find(each.id);
+            if (ticket != answer.tickets->end()) {
+                cache.tickets[each.id] = ticket->second;
+            }
+        }
         this->dispatch_due = true;
     }
+    this->ask_for_advice(now);
 }
 
 bool scheduler::place_task(active_job& job, const jobs::task_id& task, common::steady_time now)
@@ -353,6 +470,7 @@
     if (this->policy_of(job).advised) {
         tickets = this->find_tickets(job, task.occurrence, task.step, now);
         if (tickets == nullptr) {
+            this->want_tickets(job, task.occurrence, task.step, now);
             return false;
         }
     }
@@ -361,6 +479,9 @@
     }
     worker_state* worker = this->choose_worker(job, task, {}, {}, now, tickets);
     if (worker == nullptr) {
+        if (tickets != nullptr) {
+            this->want_tickets(job, task.occurrence, task.step, now);
+        }
         return false;
     }
     const auto& progress = job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
@@ -391,6 +512,7 @@
     if (this->policy_of(job).advised) {
         tickets = this->find_tickets(job, occurrence, step, now);
         if (tickets == nullptr) {
+            this->want_tickets(job, occurrence, step, now);
             return false;
         }
     }
@@ -431,6 +553,9 @@
         }
         return true;
     }
+    if (tickets != nullptr) {
+        this->want_tickets(job, occurrence, step, now);
+    }
     return false;
 }
 
@@ -468,9 +593,11 @@
 {
     active_job& job = this->jobs_by_id.at(task.job);
     worker_state* worker = this->find_worker(run.worker);
-    // The capacity may have shrunk since the run was planned.
+    // The capacity may have shrunk since the run was planned, or the ticket may have expired.
     const bool fits = worker != nullptr && worker->entry.capacity.can_fit(worker->used);
-    if (!fits || !is_usable(*worker, now) || !this->may_start(now)) {
+    const std::string* ticket = this->find_ticket(job, task, run.worker);
+    const bool may_run = ticket != nullptr || !this->policy_of(job).advised;
+    if (!fits || !may_run || !is_usable(*worker, now) || !this->may_start(now)) {
         this->withdraw_start(job, task, now);
         return;
     }
@@ -485,10 +612,8 @@
                              .at(task.step)
                              .at(static_cast<std::size_t>(task.index))
                              .checkpoint;
-    const auto advice = job.advice.find({task.occurrence, task.step});
-    if (advice != job.advice.end()) {
-        const auto ticket = advice->second.tickets.find(run.worker.id);
-        command.ticket = ticket == advice->second.tickets.end() ? std::string{} : ticket->second;
+    if (ticket != nullptr) {
+        command.ticket = *ticket;
     }
     worker->extend_leases(command.deadline_ms);
     run.phase = run_phase::sent;
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -146,6 +146,7 @@
     }
     std::erase_if(this->held_back_until,
                   [&job](const auto& each) { return each.first.job == job.spec.id; });
+    this->needed_advice.remove_job(job.spec.id);
     this->stop_all_runs(job, now);
     this->mark_dirty(job);
     switch (state) {
--- a/src/scheduling/tests/scheduler_fixture.h
+++ b/src/scheduling/tests/scheduler_fixture.h
@@ -174,6 +174,7 @@
     std::vector<journal_write> journal;
     std::vector<start_command> starts;
     std::vector<stop_command> stops;
+    std::vector<advice_request> advice;
     std::map<std::string, poll_command> polls; ///< pending, by worker id
     std::map<std::string, steady_time> poll_sent_at;
 
@@ -187,6 +188,8 @@
             this->starts.push_back(*start);
         } else if (auto* stop = std::get_if<stop_command>(&decided)) {
             this->stops.push_back(*stop);
+        } else if (auto* request = std::get_if<advice_request>(&decided)) {
+            this->advice.push_back(*request);
         } else if (auto* write = std::get_if<journal_write>(&decided)) {
             this->journal.push_back(*write);
         }
