Start suspects side by side on the workers that other tasks don't need

Cause: a task under which two workers have crashed is started alone on a held worker, and at most a third of a pool's workers are held, whether other tasks need the rest or not. After many crashes the suspects waited in line beside idle workers. Callers saw jobs with nothing running for over 30 s.

Change: idle workers may be held beyond the third, and any while no unconstrained task lacked room in the latest round, as long as a third of the pool is left. Each suspect still has its worker for itself until it has survived its start; the evidence and the limits of crashes are unchanged.

The test suspects_do_not_wait_in_line_while_the_pool_has_room fails on the code before.

--- a/src/scheduling/dispatch_round.cpp
+++ b/src/scheduling/dispatch_round.cpp
@@ -75,4 +75,15 @@
                        [&size](const teams::resources& each) { return size.can_fit(each); });
 }
 
+std::set<std::string> dispatch_round::full_pools() const
+{
+    std::set<std::string> full;
+    for (const auto& [pool, entry] : this->pools) {
+        if (!entry.unplaceable_sizes.empty()) {
+            full.insert(pool);
+        }
+    }
+    return full;
+}
+
 } // namespace chervilslip::scheduling
--- a/src/scheduling/dispatch_round.h
+++ b/src/scheduling/dispatch_round.h
@@ -26,6 +26,9 @@
     /// Returns whether a task of this size is known to fit on no worker of the pool.
     [[nodiscard]] bool fits_nowhere(const std::string& pool, const teams::resources& size) const;
 
+    /// Returns the pools that have no room for some size.
+    [[nodiscard]] std::set<std::string> full_pools() const;
+
 private:
     struct pool_entry {
         std::optional<std::vector<worker_state*>> usable; ///< unset until asked for
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -407,6 +407,8 @@
     common::steady_time earliest_dispatch; ///< spaces rounds, which take long for a backlog
     common::steady_time earliest_reaction; ///< spaces the rounds that events cause
     std::optional<dispatch_round> round;   ///< set while tasks are placed
+    /// Pools in which an unconstrained task found no room in the latest round.
+    std::set<std::string> full_pools;
     bool fenced = false;
     std::vector<action> actions;
 };
--- a/src/scheduling/scheduler_crashes.cpp
+++ b/src/scheduling/scheduler_crashes.cpp
@@ -16,7 +16,8 @@
 /// Another worker is held if the task has not been started within this time.
 constexpr common::milliseconds max_hold_time{5000};
 
-/// Of the usable workers of a pool, one in this many may be held, and always one.
+/// Of the usable workers of a pool, one in this many may be held, and always one. Beyond that,
+/// workers that other tasks don't need may be held, as long as so many are left.
 constexpr std::size_t workers_per_hold = 3;
 
 /// Starts that were sent within this time may arrive in any order.
@@ -233,17 +234,27 @@
 {
     const jobs::step& step = job.spec.steps.at(task.step);
     const auto& usable = this->round->usable_in(this->policy_of(job).pool);
-    const auto held = std::count_if(usable.begin(), usable.end(), [](const worker_state* each) {
-        return each->isolated_task.has_value();
-    });
-    if (static_cast<std::size_t>(held) >=
-        std::max<std::size_t>(usable.size() / workers_per_hold, 1)) {
+    std::size_t held = 0;
+    std::size_t held_busy = 0;
+    for (const worker_state* each : usable) {
+        const bool is_held = each->isolated_task.has_value();
+        held += is_held ? 1 : 0;
+        const std::size_t own_runs = is_held ? each->runs.count(*each->isolated_task) : 0;
+        held_busy += is_held && each->runs.size() > own_runs ? 1 : 0;
+    }
+    const std::size_t share = std::max<std::size_t>(usable.size() / workers_per_hold, 1);
+    const bool may_hold_idle = held < share || held + share < usable.size();
+    const bool may_hold_busy =
+        may_hold_idle &&
+        (held_busy < share || !this->full_pools.contains(this->policy_of(job).pool));
+    if (!may_hold_idle) {
         return nullptr;
     }
     worker_state* best = nullptr;
     for (worker_state* each : usable) {
         const worker_entry& entry = each->entry;
-        const bool allowed = !each->isolated_task && has_label(entry, step.required_label) &&
+        const bool allowed = !each->isolated_task && (may_hold_busy || each->runs.empty()) &&
+                             has_label(entry, step.required_label) &&
                              (tickets == nullptr || tickets->tickets.contains(entry.instance.id));
         if (!allowed || (best != nullptr && best->runs.size() <= each->runs.size())) {
             continue;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -155,6 +155,7 @@
             }
         }
     }
+    this->full_pools = this->round->full_pools();
     this->round.reset();
     this->ask_for_advice(now);
 }
--- a/src/scheduling/tests/crashing_tasks_tests.cpp
+++ b/src/scheduling/tests/crashing_tasks_tests.cpp
@@ -272,6 +272,87 @@
     cr_assert_leq(fleet.starts[crashing_task], allowed_starts);
 }
 
+constexpr std::int64_t suspect_count = 24;
+
+/// Lets all of six workers crash twice under the same tasks.
+void make_suspects(crash_fixture& fleet)
+{
+    fleet.run(500);
+    for (int i = 0; i < suspect_count; ++i) {
+        fleet.submit_job(make_job("suspect" + std::to_string(i)));
+    }
+    for (int crashes = 1; crashes <= 2; ++crashes) {
+        cr_assert(fleet.run_until(
+            [&] {
+                return fleet.starts.size() == suspect_count &&
+                       std::all_of(fleet.starts.begin(), fleet.starts.end(),
+                                   [&](const auto& each) { return each.second == crashes; });
+            },
+            5000));
+        for (int i = 0; i < 6; ++i) {
+            fleet.crash("w" + std::to_string(i));
+        }
+    }
+}
+
+Test(crashing_tasks, suspects_do_not_wait_in_line_while_the_pool_has_room)
+{
+    for (const std::int64_t run_time_ms : {5000, 30'000}) {
+        // given
+        crash_fixture fleet(make_workers(6));
+        fleet.run_time_ms = run_time_ms;
+        make_suspects(fleet);
+
+        // when
+        const std::int64_t begin_ms = fleet.owner->now_ms;
+        const bool all_started = fleet.run_until(
+            [&] {
+                return std::all_of(fleet.starts.begin(), fleet.starts.end(),
+                                   [](const auto& each) { return each.second == 3; });
+            },
+            60'000);
+
+        // then
+        const std::int64_t wait_ms = fleet.owner->now_ms - begin_ms;
+        cr_log_info("all started after %ld ms", wait_ms);
+        cr_expect(all_started);
+        cr_expect_leq(wait_ms, 20'000, "%ld ms", wait_ms);
+        for (int i = 0; i < suspect_count; ++i) {
+            cr_expect(fleet.state_of("suspect" + std::to_string(i)) != jobs::job_state::failed);
+        }
+    }
+}
+
+Test(crashing_tasks, suspects_leave_most_of_a_full_pool_to_other_tasks)
+{
+    // given: a backlog of eight seconds' work
+    constexpr int backlog = 200;
+    crash_fixture fleet(make_workers(6));
+    make_suspects(fleet);
+    for (int i = 0; i < backlog; ++i) {
+        fleet.submit_job(make_job("good" + std::to_string(i)));
+    }
+
+    // when
+    const std::int64_t begin_ms = fleet.owner->now_ms;
+    const bool all_done = fleet.run_until(
+        [&] {
+            for (int i = 0; i < backlog; ++i) {
+                if (fleet.state_of("good" + std::to_string(i)) != jobs::job_state::completed) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        60'000);
+
+    // then
+    const std::int64_t time_ms = fleet.owner->now_ms - begin_ms;
+    cr_log_info("backlog done after %ld ms", time_ms);
+    cr_expect(all_done);
+    cr_expect_leq(time_ms, 18'000, "%ld ms", time_ms);
+}
+
 Test(crashing_tasks, workers_that_crash_by_themselves_fail_no_job)
 {
     // given
