Expect a withdrawn start on the next instance of its worker

A start without an answer is withdrawn by a stop. Once the worker had accepted that, its restart was taken as proof that the start had come to nothing, although it may be in flight through a relay for up to 1.1 s, and the next instance knows nothing of the stop. Change: until the start can no longer arrive, the run stays open over a restart and belongs to the next instance, as any start without an answer does. Evidence: a_withdrawn_start_that_reaches_the_next_instance_is_not_made_twice fails with the change taken out. Conclusion: if the worker reports between the stop and its restart that it does not run the task, the task is started elsewhere at once, and a start that arrives at the next instance after that runs until the first report of it. Waiting for 1.1 s then would delay each task whose start got no answer.

--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -170,8 +170,8 @@
         bool redundant = false; ///< an earlier run of the task has completed after all
         bool inherited = false; ///< an earlier owner started it, at a time that is not known
         common::steady_time sent_at;
-        /// The start was sent to an earlier instance of the worker. It may reach this one until
-        /// then.
+        /// Until then the start may still reach this instance of the worker, to which it was not
+        /// sent, or the next one, although this one has been told to reject it.
         std::optional<common::steady_time> may_arrive_until;
     };
 
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -189,7 +189,10 @@
     std::copy_if(worker.runs.begin(), worker.runs.end(), std::inserter(found, found.end()),
                  [&](const jobs::task_id& task) {
                      const open_run& run = this->open_runs.at(task);
-                     return (run.phase == run_phase::sent || run.phase == run_phase::unanswered) &&
+                     const bool may_arrive = run.phase == run_phase::sent ||
+                                             run.phase == run_phase::unanswered ||
+                                             run.may_arrive_until;
+                     return may_arrive &&
                             now < run.may_arrive_until.value_or(run.sent_at + max_start_flight);
                  });
     return found;
@@ -390,6 +393,7 @@
             run.phase = run_phase::running;
             run.confirmed_at = now;
         }
+        run.may_arrive_until.reset();
         run.percent = reported.percent;
         run.load = reported.load;
         active_job& job = this->jobs_by_id.at(reported.task.job);
@@ -578,6 +582,9 @@
         // started before.
         found->second.phase = run_phase::running;
         found->second.confirmed_at = now;
+        // The worker's next instance would know nothing of the stop.
+        found->second.may_arrive_until =
+            found->second.may_arrive_until.value_or(found->second.sent_at + max_start_flight);
     }
 }
 
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -678,4 +678,31 @@
     cr_assert(fixture.clock_ms_at(fixture.now()) < start.deadline_ms);
 }
 
+Test(scheduler_recovery, a_withdrawn_start_that_reaches_the_next_instance_is_not_made_twice)
+{
+    // given: a start without a response, of which the worker has accepted a stop
+    scheduler_fixture fixture;
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    const start_command start = fixture.starts.at(0);
+    cr_assert(start.worker.id == "w1");
+    fixture.advance(fixture.now_ms + 30);
+    fixture.answer_start(start, command_outcome::unknown);
+    fixture.answer_poll("w1"); // sent before the start
+    fixture.advance(fixture.now_ms + 50);
+    fixture.answer_poll("w1");
+    fixture.under_test.handle_stop_result(
+        {start.worker, start.task, start.run, command_outcome::accepted, 0}, fixture.now());
+
+    // when: the worker restarts before it has reported again, and the start arrives then
+    const worker_instance next = restart_worker(fixture);
+    fixture.advance(fixture.now_ms + 200);
+    cr_assert(fixture.starts.size() == 1);
+    answer_poll_of(fixture, next, {scheduler_fixture::running(start)});
+    fixture.advance(fixture.now_ms + 2000);
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+}
+
 } // namespace
