--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -31,6 +31,10 @@
 /// Each plan looks at all VMs, so the interval grows by a millisecond for so many of them.
 constexpr std::size_t vms_per_plan_ms = 10;
 
+/// Waves whose progress fits into one transaction: each takes a condition and a value, beside the
+/// condition on the claim.
+constexpr std::size_t max_waves_per_write = 15;
+
 } // namespace
 
 fleet_controller::fleet_controller(fleet_controller_dependencies injected,
@@ -136,6 +140,10 @@
         std::exchange(this->on_closed, nullptr)();
         return; // no orders were sent, so the previous holder's record remains
     }
+    if (this->dependencies.clock.steady_now() < this->orders_in_flight_until) {
+        std::exchange(this->on_closed, nullptr)();
+        return; // the next holder has to wait
+    }
     store::transaction changes;
     changes.expected.push_back({std::string(store_keys::claim), this->fence.token});
     changes.set.push_back(
@@ -149,9 +157,13 @@
     });
 }
 
-void fleet_controller::finish_order()
+void fleet_controller::finish_order(fleet::vm_order_outcome outcome)
 {
     --this->pending_orders;
+    if (outcome == fleet::vm_order_outcome::unknown) {
+        this->orders_in_flight_until =
+            this->dependencies.clock.steady_now() + this->dependencies.options.handover_delay;
+    }
     this->close_if_done();
 }
 
@@ -184,9 +196,10 @@
 void fleet_controller::restore_wave_progress(const store::item& stored)
 {
     try {
+        const std::int64_t wave = std::stoll(stored.key.substr(store_keys::waves.size()));
+        this->progress_revisions[wave] = stored.revision;
         const auto value = nlohmann::json::parse(stored.value);
-        this->planner.restore(std::stoll(stored.key.substr(store_keys::waves.size())),
-                              value.at("serviced").get<std::set<std::string>>(),
+        this->planner.restore(wave, value.at("serviced").get<std::set<std::string>>(),
                               value.at("completed").get<bool>());
     } catch (const std::exception& failure) {
         // Maintenance orders of this wave may be repeated, which is harmless.
@@ -210,32 +223,64 @@
     this->writing_progress = true;
     store::transaction changes;
     changes.expected.push_back({std::string(store_keys::claim), this->fence.token});
-    const auto written = std::exchange(this->unsaved_progress, {});
+    std::map<std::int64_t, bool> written;
+    while (!this->unsaved_progress.empty() && written.size() < max_waves_per_write) {
+        written.insert(this->unsaved_progress.extract(this->unsaved_progress.begin()));
+    }
     for (const auto& [wave, completed] : written) {
+        const std::string key = store_keys::make_key(store_keys::waves, std::to_string(wave));
         const nlohmann::json value{{"serviced", this->planner.started_vms(wave)},
                                    {"completed", completed}};
-        changes.set.push_back(
-            {store_keys::make_key(store_keys::waves, std::to_string(wave)), value.dump(), 0});
+        // A copy of an earlier write that is executed late must not replace this one.
+        changes.expected.push_back({key, this->progress_revisions[wave]});
+        changes.set.push_back({key, value.dump(), 0});
     }
     const std::weak_ptr<int> alive = this->lifetime;
     this->dependencies.store.commit(
-        changes, [this, alive, written](common::result<store::commit_outcome> outcome) {
+        changes, [this, alive, written](const common::result<store::commit_outcome>& outcome) {
             if (alive.expired()) {
                 return;
             }
             this->writing_progress = false;
-            if (!outcome) {
-                this->dependencies.log.write(event_id::journal_failed,
-                                             {{"error", outcome.error().to_string()}});
-                this->unsaved_progress.insert(written.begin(), written.end());
-                this->run_after(store_retry_delay, [this] { this->write_progress(); });
+            if (this->handle_progress_result(written, outcome)) {
+                this->write_progress();
+                this->close_if_done();
                 return;
             }
-            this->write_progress();
-            this->close_if_done();
+            this->unsaved_progress.insert(written.begin(), written.end());
+            this->run_after(store_retry_delay, [this] { this->write_progress(); });
         });
 }
 
+bool fleet_controller::handle_progress_result(const std::map<std::int64_t, bool>& written,
+                                              const common::result<store::commit_outcome>& outcome)
+{
+    if (!outcome) {
+        this->dependencies.log.write(event_id::journal_failed,
+                                     {{"error", outcome.error().to_string()}});
+        return false;
+    }
+    if (outcome.value().committed) {
+        for (const auto& [wave, completed] : written) {
+            this->progress_revisions[wave] = outcome.value().revision;
+        }
+        return true;
+    }
+    // Either an earlier attempt of this write was executed, or the claim is lost.
+    bool claim_held = false;
+    std::map<std::string, std::int64_t> revisions;
+    for (const store::item& each : outcome.value().current) {
+        revisions[each.key] = each.revision;
+        claim_held =
+            claim_held || (each.key == store_keys::claim && each.revision == this->fence.token);
+    }
+    for (const auto& [wave, completed] : written) {
+        this->progress_revisions[wave] =
+            revisions[store_keys::make_key(store_keys::waves, std::to_string(wave))];
+    }
+    return !claim_held;
+}
+
 void fleet_controller::configure(std::shared_ptr<const fleet_configuration> newer)
 {
     this->configuration = std::move(newer);
@@ -264,6 +309,9 @@
         now >= authority_until || this->vms.empty() || this->on_closed) {
         return;
     }
+    if (this->vm_list_requested_at < *this->orders_allowed_from) {
+        return; // the list may not show what the last orders of the previous holder have done
+    }
     this->next_plan =
         now + plan_interval + common::milliseconds(this->vms.size() / vms_per_plan_ms);
     if (this->planner.has_open_wave()) {
@@ -319,7 +367,8 @@
 void fleet_controller::cordon_vm(const std::string& vm, bool cordoned)
 {
     for (const auto& [id, worker] : this->dependencies.scheduler.all_workers()) {
-        if (worker.entry.vm == vm && worker.listed) {
+        // A worker that is missing from the registry may be listed again, as it was.
+        if (worker.entry.vm == vm && (worker.listed || !cordoned)) {
             this->dependencies.scheduler.set_cordon(id, cordoned);
         }
     }
@@ -334,12 +383,19 @@
     }
 }
 
-bool fleet_controller::is_cordoned(const std::string& vm) const
+fleet_controller::cordoned_worker
+fleet_controller::find_cordoned_worker(const std::string& vm) const
 {
-    const auto& workers = this->dependencies.scheduler.all_workers();
-    return std::any_of(workers.begin(), workers.end(), [&vm](const auto& each) {
-        return each.second.entry.vm == vm && each.second.listed && each.second.cordoned;
-    });
+    cordoned_worker found = cordoned_worker::none;
+    for (const auto& [id, worker] : this->dependencies.scheduler.all_workers()) {
+        if (worker.entry.vm == vm && worker.cordoned) {
+            if (worker.listed) {
+                return cordoned_worker::listed;
+            }
+            found = cordoned_worker::unlisted;
+        }
+    }
+    return found;
 }
 
 void fleet_controller::order_move(const fleet::vm_move& move)
@@ -358,7 +414,7 @@
             if (alive.expired()) {
                 return;
             }
-            this->finish_order();
+            this->finish_order(vm_outcome);
             const bool accepted = vm_outcome == fleet::vm_order_outcome::accepted;
             this->dependencies.log.write(accepted ? event_id::vm_ordered
                                                   : event_id::vm_order_failed,
@@ -387,10 +443,11 @@
     }
     this->next_repeat = now + repeat_interval;
     for (const fleet::vm_move& move : std::exchange(this->unanswered_moves, {})) {
-        if (!this->is_cordoned(move.vm)) {
+        const cordoned_worker worker = this->find_cordoned_worker(move.vm);
+        if (worker == cordoned_worker::none) {
             continue; // the worker that it was for is gone
         }
-        if (this->planner.is_draining_or_down(move.vm)) {
+        if (worker == cordoned_worker::unlisted || this->planner.is_draining_or_down(move.vm)) {
             this->unanswered_moves.push_back(move);
         } else {
             this->send_move(move, true);
@@ -504,7 +561,7 @@
             if (accepted) {
                 this->save_progress(step.wave, false);
             }
-            this->finish_order();
+            this->finish_order(vm_outcome);
         });
 }
 
--- a/src/daemon/fleet_controller.h
+++ b/src/daemon/fleet_controller.h
@@ -62,13 +62,16 @@
     void set_waves(const std::vector<maintenance::wave_request>& requested);
 
     /// Stops sending orders, and calls `closed` once none is pending and the store records this.
-    /// The next holder may then start immediately.
+    /// The next holder may then start immediately, unless an order got no response.
     void close(std::function<void()> closed);
 
     /// Plans and sends the orders that are due. No orders are sent after `authority_until`.
     void tick(common::steady_time now, common::steady_time authority_until);
 
 private:
+    /// A cordoned worker of a VM. One that the registry does not list may be listed again.
+    enum class cordoned_worker { none, unlisted, listed };
+
     void read_previous_holder();
     void handle_previous_holder(const std::optional<store::item>& previous);
     template <typename Action>
@@ -76,11 +79,14 @@
     [[nodiscard]] std::string encode_holder_record(std::string_view state) const;
     void close_if_done();
     void finish_close();
-    void finish_order();
+    void finish_order(fleet::vm_order_outcome outcome);
     void read_wave_progress(const std::string& after);
     void restore_wave_progress(const store::item& stored);
     void save_progress(std::int64_t wave, bool completed);
     void write_progress();
+    /// Returns whether nothing is left to be written.
+    bool handle_progress_result(const std::map<std::int64_t, bool>& written,
+                                const common::result<store::commit_outcome>& outcome);
     void read_vm_list(common::steady_time now);
     void execute(const maintenance::wave_step& step, common::steady_time now);
     void order_maintenance(const maintenance::wave_step& step);
@@ -88,7 +94,7 @@
     void order_move(const fleet::vm_move& move);
     void send_move(const fleet::vm_move& move, bool repeated);
     void repeat_unanswered_moves(common::steady_time now);
-    [[nodiscard]] bool is_cordoned(const std::string& vm) const;
+    [[nodiscard]] cordoned_worker find_cordoned_worker(const std::string& vm) const;
     [[nodiscard]] bool has_unanswered_move(const std::string& vm) const;
     void evacuate_vm(const std::string& vm, common::steady_time now);
     void cordon_vm(const std::string& vm, bool cordoned);
@@ -103,10 +109,12 @@
     common::steady_time claimed_at;
     std::optional<common::steady_time> orders_allowed_from; ///< empty: not known yet
     std::int64_t pending_orders = 0;
+    common::steady_time orders_in_flight_until; ///< orders that got no response may be executed
     std::function<void()> on_closed;
     bool closing = false;
     /// Whether each wave is completed, by wave number.
     std::map<std::int64_t, bool> unsaved_progress;
+    std::map<std::int64_t, std::int64_t> progress_revisions; ///< in the store, by wave number
     bool writing_progress = false;
     std::shared_ptr<const fleet_configuration> configuration;
     maintenance::wave_planner planner;
--- a/src/daemon/tests/fleet_controller_tests.cpp
+++ b/src/daemon/tests/fleet_controller_tests.cpp
@@ -31,6 +31,7 @@
     void commit(const store::transaction& changes,
                 store::handler<store::commit_outcome> done) override
     {
+        this->commits.push_back(changes);
         done(this->items.commit(changes));
     }
 
@@ -47,6 +48,7 @@
     }
 
     fakes::revision_store items;
+    std::vector<store::transaction> commits;
 };
 
 /// Answers each move with the same outcome.
@@ -54,19 +56,28 @@
 public:
     void list_vms(std::function<void(common::result<std::vector<fleet::fleet_vm>>)> done) override
     {
-        done(this->vms);
+        if (this->is_listing) {
+            done(this->vms);
+        } else {
+            done(common::make_error(common::errc::unavailable, "list VMs", "", "status 429"));
+        }
     }
 
     void move_vm(const std::string& vm, const std::string& pool, const fleet::order_fence&,
                  std::function<void(vm_order_outcome)> done) override
     {
         this->moves.push_back({vm, pool});
-        done(this->outcome);
+        if (this->is_slow) {
+            this->held = std::move(done);
+        } else {
+            done(this->outcome);
+        }
     }
 
     void start_maintenance(const std::string&, std::int64_t, const fleet::order_fence&,
-                           std::function<void(vm_order_outcome)>) override
+                           std::function<void(vm_order_outcome)> done) override
     {
+        done(vm_order_outcome::accepted);
     }
 
     void report_wave(std::int64_t, bool, std::function<void(common::result<bool>)>) override
@@ -80,13 +91,26 @@
 
     std::vector<fleet::fleet_vm> vms;
     std::vector<fleet::vm_move> moves;
+    bool is_listing = true;
+    bool is_slow = false;
+    std::function<void(vm_order_outcome)> held; ///< of the latest move
     vm_order_outcome outcome = vm_order_outcome::unknown;
 };
 
 /// A pool "main" of one idle worker, and a VM in the standby pool "parked".
 struct controlled_fleet {
-    controlled_fleet() : fixture({make_worker("w1")})
+    /// `previous_holder` is its record in the store; empty: there was none.
+    explicit controlled_fleet(const std::string& previous_holder = {})
+        : fixture({make_worker("w1")})
     {
+        if (!previous_holder.empty()) {
+            cr_assert(
+                this->store.items
+                    .commit({{},
+                             {{std::string(daemon::store_keys::vm_orders), previous_holder, 0}},
+                             {}})
+                    .has_value());
+        }
         fleet::fleet_vm working;
         working.name = "vm-w1";
         working.pool = "main";
@@ -106,7 +130,7 @@
                 this->store,
                 this->machines,
                 this->fixture.under_test,
-                [](const daemon::process_identity&) { return true; },
+                [](const daemon::process_identity&) { return false; },
                 {}},
             daemon::process_identity{"n1", 1}, claimed.value().revision, time_at(0));
         auto configuration = std::make_shared<daemon::fleet_configuration>();
@@ -120,13 +144,23 @@
     {
         while (this->fixture.now_ms < end_ms) {
             this->fixture.advance(this->fixture.now_ms + 100);
-            if (this->fixture.polls.contains("w1")) {
+            if (this->answers_polls && this->fixture.polls.contains("w1")) {
                 this->fixture.answer_poll("w1", this->running);
             }
             this->controller->tick(this->fixture.now(), time_at(1'000'000));
         }
     }
 
+    /// Closes the controller and returns whether the next holder may give orders at once.
+    bool close()
+    {
+        bool closed = false;
+        this->controller->close([&closed] { closed = true; });
+        cr_assert(closed);
+        const auto record = this->store.items.read(std::string(daemon::store_keys::vm_orders));
+        return record->value.find("closed") != std::string::npos;
+    }
+
     [[nodiscard]] bool is_cordoned() const
     {
         return this->fixture.under_test.all_workers().at("w1").cordoned;
@@ -134,6 +168,7 @@
 
     scheduler_fixture fixture;
     std::vector<scheduling::reported_run> running;
+    bool answers_polls = true;
     boost::asio::io_context context;
     common::real_clock clock;
     common::event_log log{"n1"};
@@ -202,3 +237,103 @@
     // then
     cr_assert(fleet.machines.moves.size() == orders);
 }
+
+Test(fleet_controller, an_unanswered_move_is_not_forgotten_while_its_worker_is_not_listed)
+{
+    // given
+    controlled_fleet fleet;
+    fleet.run_until(2000);
+    cr_assert(fleet.is_cordoned());
+
+    // when: the worker's entry expires and is back before the worker has answered its poll
+    fleet.answers_polls = false;
+    fleet.run_until(2100);
+    const auto orders = fleet.machines.moves.size();
+    fleet.fixture.under_test.update_workers({}, fleet.fixture.now());
+    fleet.run_until(3000);
+    cr_assert(fleet.machines.moves.size() == orders);
+    fleet.fixture.under_test.update_workers(fleet.fixture.listed, fleet.fixture.now());
+    fleet.answers_polls = true;
+    fleet.machines.outcome = vm_order_outcome::busy;
+    fleet.run_until(4000);
+
+    // then
+    cr_assert(fleet.machines.moves.size() > orders);
+    cr_assert_not(fleet.is_cordoned());
+}
+
+Test(fleet_controller, a_vm_does_not_stay_cordoned_if_its_move_is_refused_while_it_is_not_listed)
+{
+    // given
+    controlled_fleet fleet;
+    fleet.machines.is_slow = true;
+    fleet.run_until(2000);
+    cr_assert(fleet.is_cordoned());
+
+    // when
+    fleet.answers_polls = false;
+    fleet.run_until(2100);
+    fleet.fixture.under_test.update_workers({}, fleet.fixture.now());
+    fleet.machines.held(vm_order_outcome::busy);
+    fleet.fixture.under_test.update_workers(fleet.fixture.listed, fleet.fixture.now());
+
+    // then
+    cr_assert_not(fleet.is_cordoned());
+}
+
+Test(fleet_controller, no_order_follows_from_a_list_older_than_the_orders_of_the_previous_holder)
+{
+    // given: a holder that may still have orders in flight, until 3300 ms
+    controlled_fleet fleet(R"(["n2", 1, "open"])");
+    fleet.run_until(3000);
+    fleet.machines.is_listing = false;
+
+    // when
+    fleet.run_until(6000);
+
+    // then
+    cr_assert(fleet.machines.moves.empty());
+    fleet.machines.is_listing = true;
+    fleet.run_until(7000);
+    cr_assert(fleet.machines.has_moved("vm-w1", "parked"));
+}
+
+Test(fleet_controller, a_late_copy_of_a_write_does_not_undo_the_progress_of_a_wave)
+{
+    // given: two VMs whose maintenance has started, each of which was stored
+    controlled_fleet fleet;
+    fleet.controller->set_waves({{7, {"vm-w1", "vm-spare"}, std::chrono::seconds(20), 2}});
+    fleet.run_until(1000);
+    const std::string key = daemon::store_keys::make_key(daemon::store_keys::waves, "7");
+    std::vector<store::transaction> writes;
+    std::copy_if(fleet.store.commits.begin(), fleet.store.commits.end(), std::back_inserter(writes),
+                 [&key](const store::transaction& each) {
+                     return !each.set.empty() && each.set.front().key == key;
+                 });
+    cr_assert(writes.size() == 2);
+
+    // when, then
+    cr_assert_not(fleet.store.items.commit(writes.front()).value().committed);
+    cr_assert(fleet.store.items.read(key)->value.find("vm-w1") != std::string::npos);
+    cr_assert(fleet.store.items.read(key)->value.find("vm-spare") != std::string::npos);
+}
+
+Test(fleet_controller, an_order_without_an_answer_is_not_recorded_as_ended)
+{
+    // given
+    controlled_fleet fleet;
+    fleet.run_until(2000);
+    cr_assert(fleet.machines.has_moved("vm-w1", "parked"));
+
+    // when, then
+    cr_assert_not(fleet.close());
+}
+
+Test(fleet_controller, the_next_holder_may_begin_at_once_after_orders_that_were_answered)
+{
+    controlled_fleet fleet;
+    fleet.machines.outcome = vm_order_outcome::accepted;
+    fleet.run_until(2000);
+    cr_assert(fleet.machines.has_moved("vm-w1", "parked"));
+    cr_assert(fleet.close());
+}
