Take the ends of runs also from reports whose poll was given up

Cause: a report that reached the owner after its poll had been completed as unanswered was dropped, with the ends that it listed. If all reports of a worker are late until its leases run out, the owner takes a run that was listed as done for lapsed and starts it again. Ruled out: that the next poll always makes up for it; it does only if it is answered in time. Change: the relay remembers polls that it gave up for 12 s, longer than any lease, and passes their reports on; the scheduler takes the ends from them and concludes nothing else.

--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -78,6 +78,10 @@
                            this->announce_unconfirmed(ids);
                        }})
 {
+    this->workers.on_late_report(
+        [this](const scheduling::worker_instance& worker, const scheduling::worker_report& report) {
+            this->owner_host.handle_late_report(worker, report);
+        });
     this->owner_host.on_owner_change([this](const ownership::claim_record& owner) {
         const auto address = net::parse_endpoint(owner.address);
         if (address) {
--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -380,6 +380,15 @@
     }
 }
 
+void scheduler_host::handle_late_report(const scheduling::worker_instance& worker,
+                                        const scheduling::worker_report& report)
+{
+    if (this->scheduler) {
+        this->scheduler->handle_late_report(worker, report, this->now());
+        this->react();
+    }
+}
+
 void scheduler_host::handle_cancel(const std::string& id, std::int64_t revision)
 {
     if (this->scheduler && this->scheduler->handle_cancel_notification(id, revision, this->now())) {
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -90,6 +90,11 @@
     void handle_job(const jobs::job& accepted, std::int64_t revision);
     void handle_cancel(const std::string& id, std::int64_t revision);
 
+    /// Passes a worker's report on that arrived after its poll was given up. Does nothing unless
+    /// this node owns the fleet.
+    void handle_late_report(const scheduling::worker_instance& worker,
+                            const scheduling::worker_report& report);
+
 private:
     /// Delay before a failed read of the claim, or during a takeover, is retried.
     static constexpr common::milliseconds read_retry_delay{80};
--- a/src/daemon/tests/worker_relay_tests.cpp
+++ b/src/daemon/tests/worker_relay_tests.cpp
@@ -323,6 +323,32 @@
     cr_assert(outcome == command_outcome::unknown);
 }
 
+Test(worker_relay, a_report_that_arrives_after_its_poll_was_given_up_is_passed_on)
+{
+    // given: the worker lists its report to the peer, which is late
+    pair_of_nodes nodes(2);
+    nodes.relay.direct_workers.responds = false;
+    std::optional<command_outcome> outcome;
+    std::optional<std::int64_t> late_clock_ms;
+    nodes.owner.workers.on_late_report([&late_clock_ms](const scheduling::worker_instance& worker,
+                                                        const scheduling::worker_report& report) {
+        cr_assert(worker.id == "w0");
+        late_clock_ms = report.clock_ms;
+    });
+    nodes.owner.workers.poll(
+        {{"w0", 1}, "a", 5, {}, milliseconds(0)}, 7,
+        [&outcome](command_outcome got, const scheduling::worker_report&) { outcome = got; });
+    nodes.run_until([&outcome] { return outcome.has_value(); });
+    cr_assert(outcome == command_outcome::unknown);
+
+    // when
+    nodes.relay.direct_workers.held_polls.at(0)();
+    nodes.run_until([&late_clock_ms] { return late_clock_ms.has_value(); });
+
+    // then
+    cr_assert(*late_clock_ms == 6);
+}
+
 Test(worker_relay, messages_for_a_command_become_fewer_when_the_owner_lags)
 {
     // given
--- a/src/daemon/worker_relay.cpp
+++ b/src/daemon/worker_relay.cpp
@@ -110,10 +110,17 @@
         }
     }
     for (const std::uint64_t number : failed) {
-        this->complete(number, {number, command_outcome::unknown, 0, {}});
+        this->give_up(number);
     }
 }
 
+void worker_relay::on_late_report(
+    std::function<void(const scheduling::worker_instance&, const scheduling::worker_report&)>
+        callback)
+{
+    this->late_report_callback = std::move(callback);
+}
+
 const std::string& worker_relay::peer_for(const std::string& worker)
 {
     static const std::string this_node;
@@ -198,8 +205,15 @@
     const std::uint64_t number = ++this->last_number;
     if (done) {
         const auto now = this->clock.steady_now();
-        this->pending[number] = {peer, this->reading.at(now) + timeout,
-                                 now + timeout + max_timeout_extension, std::move(done)};
+        pending_command& sent = this->pending[number];
+        sent = {peer,
+                this->reading.at(now) + timeout,
+                now + timeout + max_timeout_extension,
+                std::move(done),
+                {}};
+        if constexpr (std::is_same_v<Command, scheduling::poll_command>) {
+            sent.polled = command.worker;
+        }
         this->schedule_timeout_check();
     }
     const auto queued = this->outgoing.find(peer);
@@ -353,6 +367,36 @@
     done(std::move(result));
 }
 
+/// Completes a command to which no response has come.
+void worker_relay::give_up(std::uint64_t number)
+{
+    const auto found = this->pending.find(number);
+    if (found == this->pending.end()) {
+        return;
+    }
+    const auto now = this->clock.steady_now();
+    std::erase_if(this->unanswered_polls,
+                  [now](const auto& each) { return each.second.forget_at <= now; });
+    if (found->second.polled) {
+        this->unanswered_polls[number] = {found->second.peer, *found->second.polled,
+                                          now + this->options.late_report_interval};
+    }
+    this->complete(number, {number, command_outcome::unknown, 0, {}});
+}
+
+void worker_relay::handle_late_result(const std::string& peer, const numbered_result& result)
+{
+    const auto found = this->unanswered_polls.find(result.number);
+    if (found == this->unanswered_polls.end() || found->second.peer != peer) {
+        return;
+    }
+    const scheduling::worker_instance worker = found->second.worker;
+    this->unanswered_polls.erase(found);
+    if (result.report && this->late_report_callback) {
+        this->late_report_callback(worker, *result.report);
+    }
+}
+
 void worker_relay::schedule_timeout_check()
 {
     if (std::exchange(this->timeout_check_scheduled, true)) {
@@ -389,7 +433,7 @@
         const auto found = this->pending.find(number);
         if (found != this->pending.end()) {
             this->avoid_peer(found->second.peer, "no response to a command");
-            this->complete(number, {number, command_outcome::unknown, 0, {}});
+            this->give_up(number);
         }
     }
 }
@@ -413,7 +457,9 @@
     for (numbered_result& each : decoded.value()) {
         const std::uint64_t number = each.number;
         const auto found = this->pending.find(number);
-        if (found != this->pending.end() && found->second.peer == peer) {
+        if (found == this->pending.end()) {
+            this->handle_late_result(peer, each);
+        } else if (found->second.peer == peer) {
             this->complete(number, std::move(each));
         }
     }
--- a/src/daemon/worker_relay.h
+++ b/src/daemon/worker_relay.h
@@ -32,6 +32,9 @@
     /// restarted under its id, and its next instance would forget ends of the same numbers.
     common::milliseconds max_acknowledgement_delay{400};
     common::milliseconds avoid_interval{2000}; ///< a peer that did not respond is avoided this long
+    /// The report of a poll is still passed on for this time after the poll was given up. Longer
+    /// than any lease, because the end of a run that is missed is mistaken for a lapsed lease.
+    common::milliseconds late_report_interval{12000};
 
     /// So many workers of a zone share one relay. More of them make larger batches, which cost the
     /// owner less; fewer make the loss of one relay matter less.
@@ -66,6 +69,12 @@
     /// zero: commands are sent after the current handler.
     void set_batch_window(common::milliseconds window);
 
+    /// Sets the callback for reports that arrive after their poll was completed as unknown. A
+    /// worker may list the end of a run only in such a report.
+    void on_late_report(
+        std::function<void(const scheduling::worker_instance&, const scheduling::worker_report&)>
+            callback);
+
     /// Adds or removes a peer that can relay commands.
     void on_peer_connected(const membership::member& peer);
     void on_peer_lost(const std::string& peer);
@@ -93,6 +102,14 @@
         common::steady_time deadline;        ///< in reading time
         common::steady_time latest_deadline; ///< however late this process is
         std::function<void(scheduling::numbered_result)> done;
+        std::optional<scheduling::worker_instance> polled; ///< set if the command is a poll
+    };
+
+    /// A poll that was completed as unknown.
+    struct unanswered_poll {
+        std::string peer;
+        scheduling::worker_instance worker;
+        common::steady_time forget_at;
     };
 
     /// Returns the peer that relays commands to a worker; empty: this node sends them itself.
@@ -114,6 +131,8 @@
     void schedule_result_flush();
     void flush_results();
     void complete(std::uint64_t number, scheduling::numbered_result result);
+    void give_up(std::uint64_t number);
+    void handle_late_result(const std::string& peer, const scheduling::numbered_result& result);
     void expire_commands();
     void schedule_timeout_check();
     void avoid_peer(const std::string& peer, std::string_view cause);
@@ -146,7 +165,10 @@
     std::map<std::string, message_delay> delays;    ///< of the batches that peers send
     std::map<std::string, recent_numbers> executed; ///< commands, by the peer that sent them
     std::map<std::string, std::vector<scheduling::numbered_result>> results;
-    std::map<std::uint64_t, pending_command> pending; ///< by number
+    std::map<std::uint64_t, pending_command> pending;          ///< by number
+    std::map<std::uint64_t, unanswered_poll> unanswered_polls; ///< by number
+    std::function<void(const scheduling::worker_instance&, const scheduling::worker_report&)>
+        late_report_callback;
     std::uint64_t last_number;
     bool flush_scheduled = false;
     bool result_flush_scheduled = false;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -94,6 +94,11 @@
     void ignore_notifications_until(std::int64_t revision);
 
     void handle_poll_result(const poll_result& answer, common::steady_time now);
+
+    /// Takes the ends of runs from a report whose poll was handled as unanswered. Nothing else is
+    /// concluded from it, because the worker may have changed since.
+    void handle_late_report(const worker_instance& from, const worker_report& report,
+                            common::steady_time now);
     void handle_start_result(const command_result& answer, common::steady_time now);
     void handle_stop_result(const command_result& answer, common::steady_time now);
     void handle_advice(const advice_response& answer, common::steady_time now);
@@ -277,6 +282,8 @@
     void poll_if_due(worker_state& worker, common::steady_time now);
     void poll_due_workers(common::steady_time now);
     void schedule_poll(worker_state& worker, common::steady_time at);
+    void handle_ends(worker_state& worker, const std::vector<finished_run>& finished,
+                     common::steady_time now);
     void reconcile_running(worker_state& worker, const poll_result& answer,
                            common::steady_time now);
     void reconcile_missing(worker_state& worker, const poll_result& answer,
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -353,13 +353,7 @@
     worker->observe_clock(answer.report.clock_ms, now);
     worker->last_response_at = now;
     this->note_unexplained(this->unexplained_losses.take_alive(worker->entry.instance), -1);
-    for (const finished_run& finished : answer.report.finished) {
-        if (finished.number > worker->last_handled_end) {
-            worker->last_handled_end = finished.number;
-            this->handle_finished_run(*worker, finished, now);
-        }
-    }
-    worker->acknowledge_durable();
+    this->handle_ends(*worker, answer.report.finished, now);
     this->reconcile_running(*worker, answer, now);
     this->reconcile_missing(*worker, answer, now);
     if (worker->entry.draining) {
@@ -375,6 +369,30 @@
     this->dispatch_due = this->dispatch_due || first;
 }
 
+void scheduler::handle_late_report(const worker_instance& from, const worker_report& report,
+                                   common::steady_time now)
+{
+    this->last_now = now;
+    worker_state* worker = this->find_worker(from);
+    const bool same_instance =
+        report.started_at_ms == 0 || report.started_at_ms == from.started_at_ms;
+    if (worker != nullptr && same_instance) {
+        this->handle_ends(*worker, report.finished, now);
+    }
+}
+
+void scheduler::handle_ends(worker_state& worker, const std::vector<finished_run>& finished,
+                            common::steady_time now)
+{
+    for (const finished_run& each : finished) {
+        if (each.number > worker.last_handled_end) {
+            worker.last_handled_end = each.number;
+            this->handle_finished_run(worker, each, now);
+        }
+    }
+    worker.acknowledge_durable();
+}
+
 void scheduler::reconcile_running(worker_state& worker, const poll_result& answer,
                                   common::steady_time now)
 {
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -95,6 +95,53 @@
     cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::completed);
 }
 
+Test(scheduler_recovery, an_end_in_a_report_whose_poll_was_given_up_is_not_run_again)
+{
+    // given: no poll is answered in time, until the lease of the run has nearly expired
+    scheduler_fixture fixture({make_worker("w1"), make_worker("w2")});
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    const start_command start = fixture.starts.at(0);
+    fixture.answer_start(start, command_outcome::accepted);
+    fixture.fail_poll(start.worker.id);
+
+    // when
+    worker_report report;
+    report.started_at_ms = 1;
+    report.finished = {make_finished_run(1, start, end_cause::done)};
+    fixture.under_test.handle_late_report(start.worker, report, fixture.now());
+    for (int i = 0; i < 200; ++i) {
+        if (fixture.polls.contains(start.worker.id)) {
+            fixture.fail_poll(start.worker.id);
+        }
+        fixture.advance(fixture.now_ms + 50);
+    }
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::completed);
+}
+
+Test(scheduler_recovery, a_late_report_of_an_earlier_instance_ends_nothing)
+{
+    // given
+    scheduler_fixture fixture({make_worker("w1")});
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    const start_command start = fixture.starts.at(0);
+    fixture.answer_start(start, command_outcome::accepted);
+
+    // when
+    worker_report report;
+    report.started_at_ms = 7;
+    report.finished = {make_finished_run(1, start, end_cause::done)};
+    fixture.under_test.handle_late_report(start.worker, report, fixture.now());
+    fixture.advance(fixture.now_ms + 50);
+
+    // then
+    cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::running);
+}
+
 Test(scheduler_recovery, a_newer_instance_proves_that_the_earlier_one_has_ended)
 {
     // given
