--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -292,8 +292,10 @@
                          .at(finished.task.step)
                          .at(static_cast<std::size_t>(finished.task.index));
     const jobs::step& step = job.spec.steps.at(finished.task.step);
+    // Also the end of a run with a higher number than any known one: whoever ordered it, the task
+    // has been carried out.
     if (jobs::is_final(job.progress.state) || step.long_running || step.gang ||
-        finished.run > progress.run || progress.state == task_progress::phase::done) {
+        progress.state == task_progress::phase::done) {
         return false;
     }
     this->record(decision_record::kind::task_ended, finished.task.to_string(),
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -142,6 +142,22 @@
     cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::running);
 }
 
+Test(scheduler_recovery, a_completed_run_that_the_journal_does_not_hold_is_not_run_again)
+{
+    // given: an owner to which the task's run was never shown
+    scheduler_fixture fixture({make_worker("w1")}, {{make_job("j1"), std::nullopt, false}});
+    const start_command unknown{{"w1", 1}, "10.0.0.1:80", {"j1", 0, 0, 0}, 1, "", 0, "", ""};
+
+    // when: the worker's first report lists its end
+    fixture.answer_poll("w1", {}, {make_finished_run(1, unknown, end_cause::done)});
+    fixture.advance(fixture.now_ms + 50);
+    fixture.advance(fixture.now_ms + 50);
+
+    // then
+    cr_assert(fixture.starts.empty());
+    cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::completed);
+}
+
 Test(scheduler_recovery, a_newer_instance_proves_that_the_earlier_one_has_ended)
 {
     // given
