Bound header, chunk extensions and trailers of responses

Cause: the HTTP client bounded only the body of a response. A store, worker or VM list that sends trailers, a chunk extension or header fields without end filled the memory until the call's time limit.

Change: the buffer of a response takes at most 128 KiB that can't be parsed yet, and a header at most 64 KiB; a larger one ends the call with `too_large`. The buffer of http_stream is bounded too.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -23,6 +23,11 @@
 /// so a large response that is read in small pieces takes seconds while the process is busy.
 constexpr std::size_t read_size = std::size_t{64} * 1024;
 
+/// Bounds a response's header, and the chunk extensions and trailer section that the parser can't
+/// use until they are complete. Its own header limit holds for neither, and not for a header of
+/// which each read ends with a field.
+constexpr std::size_t max_header_bytes = std::size_t{64} * 1024;
+
 /// Idle connections that their peers have closed are closed at this interval, and those that have
 /// not been used for some time.
 constexpr std::chrono::seconds sweep_interval{2};
@@ -76,7 +81,8 @@
     if (failure == beast::error::timeout) {
         return errc::timed_out;
     }
-    if (failure == http::error::body_limit || failure == http::error::header_limit) {
+    if (failure == http::error::body_limit || failure == http::error::header_limit ||
+        failure == http::error::buffer_overflow) {
         return errc::too_large;
     }
     return errc::connection_lost;
@@ -279,8 +285,16 @@
     struct attempt {
         connection used;
         http::request<http::string_body> message;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer{max_header_bytes + read_size};
         http::response_parser<http::string_body> parser;
+        std::size_t header_bytes = 0;
+
+        /// Counts bytes that were received; returns whether the header is within its limit.
+        bool is_header_bounded(std::size_t received)
+        {
+            this->header_bytes += this->parser.is_header_done() ? 0 : received;
+            return this->header_bytes <= max_header_bytes;
+        }
     };
 
     using attempt_pointer = std::shared_ptr<attempt>;
@@ -405,12 +419,14 @@
         http::async_read_some(*this->current->used.stream, this->current->buffer,
                               this->current->parser,
                               [self = this->shared_from_this(), from = this->current](
-                                  const boost::system::error_code& failure, std::size_t) {
+                                  const boost::system::error_code& failure, std::size_t size) {
                                   if (from != self->current) {
                                       return;
                                   }
                                   if (failure) {
                                       self->fail("receive answer", failure, self->received_part());
+                                  } else if (!from->is_header_bounded(size)) {
+                                      self->fail("receive answer", http::error::header_limit);
                                   } else if (from->parser.is_done()) {
                                       self->deliver();
                                   } else {
@@ -668,7 +684,7 @@
     common::milliseconds silence_limit;
     line_handler on_line;
     stream_end_handler on_end;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_header_bytes + read_size};
     http::response_parser<http::string_body> parser;
     std::string pending;
 };
--- a/src/net/tests/http_client_tests.cpp
+++ b/src/net/tests/http_client_tests.cpp
@@ -14,6 +14,7 @@
 using boost::asio::ip::tcp;
 
 constexpr std::size_t max_response_size = std::size_t{1} << 20U;
+constexpr std::size_t max_endless_size = std::size_t{64} << 20U;
 
 /// Responds with a body of the given size, all at once. Precondition: a request has been sent.
 void respond(tcp::socket& socket, std::size_t body_size)
@@ -52,6 +53,46 @@
     return turns;
 }
 
+/// Returns the error of a call whose response begins with `head` and goes on with `piece` without
+/// end.
+common::error call_endless(const std::string& head, const std::string& piece)
+{
+    boost::asio::io_context server_context;
+    tcp::acceptor acceptor(server_context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    std::thread server([&] {
+        tcp::socket socket = acceptor.accept();
+        std::string received;
+        boost::system::error_code failure;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n");
+        boost::asio::write(socket, boost::asio::buffer(head), failure);
+        for (std::size_t sent = 0; !failure && sent < max_endless_size; sent += piece.size()) {
+            boost::asio::write(socket, boost::asio::buffer(piece), failure);
+        }
+    });
+    net::http_request request;
+    request.method = "GET";
+    request.target = "/";
+    const auto answer = net::call_and_wait({"127.0.0.1", acceptor.local_endpoint().port()}, request,
+                                           std::chrono::seconds(20));
+    server.join();
+    return answer.error();
+}
+
+/// Guards against a peer whose response takes all memory: the parser bounds neither trailers nor
+/// chunk extensions.
+Test(http_client, every_section_of_a_response_is_bounded)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string field = "X-Field: " + std::string(500, 'x') + "\r\n";
+    const std::vector<std::pair<std::string, std::string>> responses{
+        {"HTTP/1.1 200 OK\r\n", field},
+        {chunked + "2\r\n{}\r\n0\r\n", field},
+        {chunked + "2;x=", std::string(1000, 'x')}};
+    for (const auto& [head, piece] : responses) {
+        cr_assert(call_endless(head, piece).code == common::errc::too_large, "%s", head.c_str());
+    }
+}
+
 Test(http_client, a_large_response_does_not_need_many_turns_of_a_busy_event_loop)
 {
     // given: 1,100 workers change 200 kB of the registry a second, and a turn may take 150 ms
