Bound all that clients make a listener hold, and its connections

Cause: 8 clients with trailers without end, or 900 with stalled bodies, took more memory than an entry node has. The server bounded one body; Boost.Beast's header limit bounds neither trailers nor chunk extensions, nor a header of which each read ends inside a field. Refused connections were not counted, each accept searched all sessions, and a process without free descriptors accepted in a busy loop.

Change: net/request_reader bounds header, chunk extensions, trailer section and body, reserves memory only for what has arrived and drops trailers. net/memory_budget counts what each connection holds and chooses which to shed: most bytes times time without progress, never a request that is handled or an answer that is read. http_session and http_listener replace the session in http_server.cpp: one shared read buffer, no timers for each connection, connections refused or idle ones closed at the limit. The limits follow from limits.memoryMb and limits.maxFds. Refusals are counted by listener and reason, with one log line of each kind and second. 503 carries Retry-After; a job that an earlier submission may have stored gets 504, as from the API.

--- a/src/daemon/fleet_metrics.cpp
+++ b/src/daemon/fleet_metrics.cpp
@@ -33,6 +33,11 @@
                        .Name("chervilslip_jobs_refused_total")
                        .Help("Jobs that this node has refused, by reason")
                        .Register(this->registry)),
+      requests_refused(prometheus::BuildCounter()
+                           .Name("chervilslip_requests_refused_total")
+                           .Help("Connections and requests that were refused before they reached "
+                                 "the API, by listener and reason")
+                           .Register(this->registry)),
       store_calls(prometheus::BuildCounter()
                       .Name("chervilslip_store_calls_total")
                       .Help("Calls to the store by way and outcome")
@@ -76,6 +81,11 @@
     this->jobs_refused.Add({{"reason", reason}}).Increment();
 }
 
+void fleet_metrics::add_refused_request(const std::string& listener, const std::string& reason)
+{
+    this->requests_refused.Add({{"listener", listener}, {"reason", reason}}).Increment();
+}
+
 void fleet_metrics::add_store_call(const std::string& route, const std::string& outcome,
                                    common::milliseconds taken)
 {
--- a/src/daemon/fleet_metrics.h
+++ b/src/daemon/fleet_metrics.h
@@ -20,6 +20,9 @@
     /// Records a job that was refused.
     void add_refused_job(const std::string& reason);
 
+    /// Records a connection or request that was refused before it reached the API.
+    void add_refused_request(const std::string& listener, const std::string& reason);
+
     /// Records a call to the store. `route` is the route that answered, or "none".
     void add_store_call(const std::string& route, const std::string& outcome,
                         common::milliseconds taken);
@@ -56,6 +59,7 @@
     prometheus::Family<prometheus::Counter>& calls;
     prometheus::Family<prometheus::Histogram>& call_seconds;
     prometheus::Family<prometheus::Counter>& jobs_refused;
+    prometheus::Family<prometheus::Counter>& requests_refused;
     prometheus::Family<prometheus::Counter>& store_calls;
     prometheus::Family<prometheus::Histogram>& store_seconds;
     prometheus::Family<prometheus::Counter>& store_attempts;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -78,13 +78,17 @@
           [this](const net::http_request& request, std::shared_ptr<net::http_exchange> exchange) {
               this->caller_handler.handle(request, std::move(exchange));
           },
-          [this](const common::error& cause) { this->record_rejection(cause); }),
+          [this](net::refusal_reason reason, const common::error& cause) {
+              this->record_rejection(reason, cause);
+          }),
       operator_server(
           io, settings.http,
           [this](const net::http_request& request, std::shared_ptr<net::http_exchange> exchange) {
               this->operator_handler.handle(request, std::move(exchange));
           },
-          [this](const common::error& cause) { this->record_rejection(cause); })
+          [this](net::refusal_reason reason, const common::error& cause) {
+              this->record_rejection(reason, cause);
+          })
 {
 }
 
@@ -324,13 +328,13 @@
     }
 }
 
-void node::record_rejection(const common::error& cause)
+void node::record_rejection(net::refusal_reason reason, const common::error& cause)
 {
     this->exported_metrics.count_rejected();
-    const bool at_capacity = cause.code == common::errc::unavailable;
-    this->log.write(at_capacity ? common::event_id::connection_refused
-                                : common::event_id::bad_request,
-                    {{"error", cause.to_string()}});
+    const bool at_capacity = reason == net::refusal_reason::connection_limit;
+    this->log.write(
+        at_capacity ? common::event_id::connection_refused : common::event_id::bad_request,
+        {{"error", cause.to_string()}, {"reason", std::string(net::to_string(reason))}});
 }
 
 nlohmann::json node::status() const
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -46,7 +46,7 @@
     void handle_vm_list(const common::result<net::http_response>& answer);
     void poll_usage();
     void log_leaving_vms(const std::vector<routing::upstream_info>& vms);
-    void record_rejection(const common::error& cause);
+    void record_rejection(net::refusal_reason reason, const common::error& cause);
     void check_drained(common::steady_time deadline, const std::function<void()>& on_stopped);
     void finish_stop(const std::function<void()>& on_stopped);
     [[nodiscard]] bool is_ready() const;
--- a/src/daemon/tests/store_attempts_tests.cpp
+++ b/src/daemon/tests/store_attempts_tests.cpp
@@ -25,7 +25,7 @@
                      const std::shared_ptr<net::http_exchange>& exchange) {
                   this->handle(*exchange);
               },
-              [](const common::error&) {})
+              [](net::refusal_reason, const common::error&) {})
     {
         this->address = this->server.listen({"127.0.0.1", 0}).value();
     }
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -55,11 +55,11 @@
                              platform_settings wanted)
     : context(io), settings(std::move(wanted)), store(io, clock),
       vm_list(
-          io, net::http_limits{},
+          io, net::http_limits{.total_bytes = net::no_total_limit},
           [this](const net::http_request& request, std::shared_ptr<net::http_exchange> exchange) {
               this->handle_list(request, *exchange);
           },
-          [](const common::error&) {})
+          [](net::refusal_reason, const common::error&) {})
 {
     for (const fake_vm& each : this->settings.vms) {
         this->workers[each.vm] =
--- a/src/fakes/fake_store.cpp
+++ b/src/fakes/fake_store.cpp
@@ -15,11 +15,11 @@
 fake_store::fake_store(boost::asio::io_context& context, const common::clock& time_source)
     : clock(time_source), gate(context, gate_seed),
       server(
-          context, net::http_limits{},
+          context, net::http_limits{.total_bytes = net::no_total_limit},
           [this](const net::http_request& request, std::shared_ptr<net::http_exchange> exchange) {
               this->handle(request, std::move(exchange));
           },
-          [](const common::error&) {})
+          [](net::refusal_reason, const common::error&) {})
 {
 }
 
--- a/src/fakes/fake_worker.cpp
+++ b/src/fakes/fake_worker.cpp
@@ -40,11 +40,11 @@
                          std::string vm, teams::resources size, std::size_t connections)
     : clock(time_source), gate(context, gate_seed), model(std::move(vm), size),
       server(
-          context, net::http_limits{.connections = connections},
+          context, net::http_limits{.connections = connections, .total_bytes = net::no_total_limit},
           [this](const net::http_request& request, std::shared_ptr<net::http_exchange> exchange) {
               this->handle(request, std::move(exchange));
           },
-          [](const common::error&) {})
+          [](net::refusal_reason, const common::error&) {})
 {
 }
 
--- a/src/net/tests/http_server_tests.cpp
+++ b/src/net/tests/http_server_tests.cpp
@@ -22,7 +22,9 @@
               [](const net::http_request& request, std::shared_ptr<net::http_exchange> exchange) {
                   exchange->respond(net::json_response(200, {{"size", request.body.size()}}));
               },
-              [this](const common::error& cause) { this->rejected.push_back(cause); })
+              [this](net::refusal_reason reason, const common::error&) {
+                  this->rejected.push_back(reason);
+              })
     {
         this->address = this->server.listen({"127.0.0.1", 0}).value();
         this->thread = std::thread([this] { this->context.run(); });
@@ -64,7 +66,7 @@
     }
 
     boost::asio::io_context context;
-    std::vector<common::error> rejected;
+    std::vector<net::refusal_reason> rejected;
     net::http_server server;
     net::endpoint address;
     std::thread thread;
@@ -164,6 +166,116 @@
     assert_refused(server.talk("GET / HTTP/1.1\r\n\r\n", false), "503", "the limit is 4");
 }
 
+/// Holds connections on which bytes were sent.
+class held_connections {
+public:
+    void add(const running_server& server, const std::string& bytes)
+    {
+        this->sockets.emplace_back(this->io);
+        this->sockets.back().connect(
+            {boost::asio::ip::make_address("127.0.0.1"), server.address.port});
+        boost::asio::write(this->sockets.back(), boost::asio::buffer(bytes));
+    }
+
+    /// Returns all that comes back on one of them.
+    std::string receive(std::size_t index)
+    {
+        std::string received;
+        boost::system::error_code ignored;
+        boost::asio::read(this->sockets[index], boost::asio::dynamic_buffer(received), ignored);
+        return received;
+    }
+
+private:
+    boost::asio::io_context io;
+    std::vector<tcp::socket> sockets;
+};
+
+/// Guards against stalled requests that fill the memory, each within its own limits, and against a
+/// promise (503) for a request whose work may run.
+Test(http_server, stalled_requests_over_the_total_are_refused)
+{
+    const std::string body(1000, 'x');
+    for (const bool is_certain : {true, false}) {
+        // given
+        net::http_limits limits = small_limits();
+        limits.body_time = common::milliseconds(60'000);
+        limits.connections = 64;
+        limits.total_bytes = 16'000;
+        running_server server(limits);
+        server.server.set_refusal_check(
+            [is_certain](const net::http_request&) { return is_certain; });
+        held_connections held;
+
+        // when
+        for (int i = 0; i < 16; ++i) {
+            held.add(server, "POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" + body);
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+
+        // then
+        const std::string answer = held.receive(0);
+        assert_refused(answer, is_certain ? "503" : "504", "memory");
+        cr_assert((answer.find("\r\nRetry-After: 1\r\n") != std::string::npos) == is_certain);
+        server.assert_serves();
+    }
+}
+
+/// Guards against idle connections that keep others out.
+Test(http_server, a_long_idle_connection_makes_room_for_a_new_one)
+{
+    // given
+    const running_server server(small_limits());
+    held_connections idle;
+    for (int i = 0; i < 4; ++i) {
+        idle.add(server, "");
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+
+    // when / then
+    server.assert_serves();
+    cr_assert(idle.receive(0).empty());
+}
+
+/// Guards against pipelined requests that are lost, mixed up, or held without bound.
+Test(http_server, pipelined_requests_are_answered_in_order)
+{
+    // given
+    const running_server server(small_limits());
+    std::string bytes;
+    std::string expected;
+    for (int i = 0; i < 200; ++i) {
+        const std::string body(static_cast<std::size_t>(i), 'x');
+        bytes += "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(i) + "\r\n\r\n" + body;
+        expected += "{\"size\":" + std::to_string(i) + "}";
+    }
+
+    // when
+    const std::string answers = server.talk(bytes, true);
+
+    // then
+    std::string bodies;
+    for (std::size_t at = answers.find('{'); at != std::string::npos;
+         at = answers.find('{', at + 1)) {
+        bodies += answers.substr(at, answers.find('}', at) - at + 1);
+    }
+    cr_assert(bodies == expected);
+}
+
+/// Guards against a client that waits for the invitation to send its body.
+Test(http_server, a_client_that_expects_it_gets_100_continue)
+{
+    // given
+    const running_server server(small_limits());
+
+    // when
+    const std::string answer =
+        server.talk("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n", true);
+
+    // then
+    cr_assert(answer.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 400"));
+}
+
 Test(http_client, refused_connection_says_that_nothing_was_sent)
 {
     // given a port that nobody listens on
