Bound connections of peers without a proof

Cause: connections to the port for entry nodes were not counted, and a process without free descriptors accepted in a busy loop there. The length of a frame was already checked before memory is reserved (8 MiB, 4 KiB before the proof); received bytes are appended as they arrive.

Change: at most 128 accepted connections may be open without a valid proof; of more, the oldest is closed, since entry nodes prove themselves at once. After a failed accept the next one waits 50 ms.

--- a/src/membership/peer_network.cpp
+++ b/src/membership/peer_network.cpp
@@ -30,6 +30,11 @@
 /// over its connections what a busy peer sends in the meantime.
 constexpr std::size_t read_buffer_bytes = std::size_t{64} * 1024;
 constexpr std::size_t nonce_bytes = 16;
+/// Accepted connections without a valid proof that may be open at once; a fleet has some 40 entry
+/// nodes, each of which makes one and at times a second one.
+constexpr std::size_t max_unproven = 128;
+/// A process without free descriptors accepts again after this time.
+constexpr common::milliseconds accept_delay{50};
 constexpr common::milliseconds connect_timeout{1000};
 constexpr common::milliseconds reconnect_delay{300};
 constexpr common::milliseconds handshake_timeout{3000};
@@ -313,6 +318,17 @@
         return this->is_pinged_by_peer && now - this->received_at >= abandoned_limit;
     }
 
+    /// Returns whether the peer made the connection and has not proved that it is an entry node.
+    [[nodiscard]] bool is_unproven() const
+    {
+        return !this->is_outgoing && !this->ready;
+    }
+
+    [[nodiscard]] bool is_older_than(const peer_connection& other) const
+    {
+        return this->opened_at < other.opened_at;
+    }
+
     /// Describes a connection that is silent.
     [[nodiscard]] silent_peer describe_silence(common::steady_time now) const
     {
@@ -740,15 +756,51 @@
         this->acceptor.async_accept(
             [self = this->shared_from_this()](const boost::system::error_code& failure,
                                               tcp::socket socket) {
-                if (!failure && !self->closed) {
-                    self->start_connection(std::move(socket), std::nullopt);
+                if (self->closed || failure == asio::error::operation_aborted) {
+                    return;
+                }
+                if (!failure) {
+                    self->start_accepted(std::move(socket));
                 }
-                if (!self->closed && failure != asio::error::operation_aborted) {
+                if (!failure || failure == asio::error::connection_aborted) {
+                    self->accept();
+                } else {
+                    self->accept_later();
+                }
+            });
+    }
+
+    void accept_later()
+    {
+        auto timer = std::make_shared<asio::steady_timer>(this->context, accept_delay);
+        timer->async_wait(
+            [self = this->shared_from_this(), timer](const boost::system::error_code&) {
+                if (!self->closed) {
                     self->accept();
                 }
             });
     }
 
+    /// Entry nodes prove themselves at once, so of too many connections the oldest is closed.
+    void start_accepted(tcp::socket&& socket)
+    {
+        std::size_t unproven = 0;
+        std::shared_ptr<peer_connection> oldest;
+        for (const auto& each : this->connections) {
+            if (each->is_unproven()) {
+                ++unproven;
+                oldest = !oldest || each->is_older_than(*oldest) ? each : oldest;
+            }
+        }
+        if (unproven >= max_unproven) {
+            oldest->close();
+            this->connections.erase(oldest);
+            this->hooks.on_rejected(make_error(errc::unavailable, "authenticate peer", {},
+                                               "too many connections wait for a proof"));
+        }
+        this->start_connection(std::move(socket), std::nullopt);
+    }
+
     void connect(const net::endpoint& address)
     {
         auto socket = std::make_shared<tcp::socket>(this->context);
--- a/src/membership/tests/peer_network_tests.cpp
+++ b/src/membership/tests/peer_network_tests.cpp
@@ -55,6 +55,9 @@
     network_hooks receiver_hooks()
     {
         network_hooks hooks = this->sender_hooks();
+        hooks.on_rejected = [this](const common::error&) {
+            ++this->rejected;
+        };
         hooks.on_message = [this](const member&, const message& value, const response_sender&) {
             this->received.push_back(std::get<relay_call>(value).body);
         };
@@ -88,6 +91,7 @@
     boost::asio::io_context context;
     int connected = 0;
     int disconnected = 0;
+    int rejected = 0; ///< connections to the receiver
     std::vector<silent_peer> silences;
     std::vector<std::string> received;
     peer_network sender;
@@ -184,4 +188,30 @@
     cr_assert(nodes.received.size() == 1);
 }
 
+/// Guards against connections without a proof that keep entry nodes out.
+Test(peer_network, a_peer_connects_beside_many_connections_without_a_proof)
+{
+    // given: more than may be open at once
+    using tcp = boost::asio::ip::tcp;
+    constexpr std::size_t count = 200;
+    proxied_pair nodes;
+    const auto target = nodes.proxy.address();
+    std::vector<tcp::socket> unproven;
+    for (std::size_t i = 0; i < count; ++i) {
+        unproven.emplace_back(nodes.context);
+        unproven.back().connect({boost::asio::ip::make_address(target.address), target.port});
+    }
+    nodes.run_until([&nodes] { return nodes.rejected > 0; });
+
+    // when
+    peer_network another(nodes.context, {"another", "z", "127.0.0.1:0", 1}, "secret",
+                         nodes.sender_hooks());
+    another.connect_to(target);
+
+    // then
+    nodes.run_until([&nodes] { return nodes.connected == 2; });
+    cr_assert(nodes.disconnected == 0);
+    another.close();
+}
+
 } // namespace
