Judge the speed of workers, and learn run times as distributions

Cause: placement considered failures, crashes and silence of a worker, but not its speed, and duration_estimator held one mean per queue. A worker at a fifth of its speed got as much work with little slack as its free slots allowed, and nothing could forecast the end of a run.

Change: run_time_distribution is a decaying histogram with logarithmic buckets; duration_estimator holds one per queue and one per step shape, with the declared time as a prior that fades, and answers quantile(queue, declared, share). Resumed and inherited runs are no samples of them. expected() is unchanged, since it ranks jobs. worker_speed compares the runs of a worker with those of the same shape in its pool by a CUSUM test in the order in which they began; open runs past their limit count. Events 5311 and 5312, gauges of slow workers and of learned quantiles of at most 32 queues.

Workers with fewer than four runs at a time are found late: the tail explains anything less.

--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -63,6 +63,8 @@
     worker_suspected = 5303,
     worker_trusted = 5304,
     worker_entry_unreadable = 5305,
+    worker_slow = 5311,
+    worker_recovered = 5312,
     vm_ordered = 5401,
     vm_order_failed = 5402,
     wave_progress = 5403,
@@ -82,7 +84,7 @@
     severity level;
 };
 
-inline constexpr std::array<event_entry, 60> event_catalogue{{
+inline constexpr std::array<event_entry, 62> event_catalogue{{
     {event_id::node_started, "node_started", severity::info},
     {event_id::node_ready, "node_ready", severity::info},
     {event_id::node_stopping, "node_stopping", severity::info},
@@ -135,6 +137,8 @@
     {event_id::worker_suspected, "worker_suspected", severity::warning},
     {event_id::worker_trusted, "worker_trusted", severity::info},
     {event_id::worker_entry_unreadable, "worker_entry_unreadable", severity::warning},
+    {event_id::worker_slow, "worker_slow", severity::warning},
+    {event_id::worker_recovered, "worker_recovered", severity::info},
     {event_id::vm_ordered, "vm_ordered", severity::info},
     {event_id::vm_order_failed, "vm_order_failed", severity::warning},
     {event_id::wave_progress, "wave_progress", severity::info},
--- a/src/daemon/fleet_metrics.cpp
+++ b/src/daemon/fleet_metrics.cpp
@@ -13,6 +13,9 @@
 const prometheus::Histogram::BucketBoundaries latency_buckets{0.002, 0.005, 0.01, 0.025, 0.05,
                                                               0.1,   0.25,  0.5,  1.0,   3.0};
 
+/// Queues whose run times are exported; operators choose their number and names.
+constexpr std::size_t max_queue_labels = 32;
+
 double seconds(common::milliseconds time)
 {
     return static_cast<double>(time.count()) / ms_per_second;
@@ -60,7 +63,11 @@
       workers(prometheus::BuildGauge()
                   .Name("chervilslip_workers")
                   .Help("Workers by what the owner knows of them")
-                  .Register(this->registry))
+                  .Register(this->registry)),
+      run_times(prometheus::BuildGauge()
+                    .Name("chervilslip_run_time_seconds")
+                    .Help("Learned quantiles of the run times of the queues with most runs")
+                    .Register(this->registry))
 {
 }
 
@@ -116,16 +123,43 @@
     std::int64_t listed = 0;
     std::int64_t unresponsive = 0;
     std::int64_t runs = 0;
+    std::int64_t slow = 0;
+    std::int64_t suspected = 0;
     if (active_scheduler != nullptr) {
         for (const auto& [id, worker] : active_scheduler->all_workers()) {
             listed += worker.listed ? 1 : 0;
             unresponsive += worker.missed_polls > 0 ? 1 : 0;
             runs += static_cast<std::int64_t>(worker.runs.size());
+            slow += worker.speed.verdict == scheduling::speed_verdict::slow ? 1 : 0;
+            suspected += worker.speed.verdict == scheduling::speed_verdict::suspected ? 1 : 0;
         }
     }
     this->workers.Add({{"state", "listed"}}).Set(static_cast<double>(listed));
     this->workers.Add({{"state", "silent"}}).Set(static_cast<double>(unresponsive));
     this->workers.Add({{"state", "runs"}}).Set(static_cast<double>(runs));
+    this->workers.Add({{"state", "slow"}}).Set(static_cast<double>(slow));
+    this->workers.Add({{"state", "suspected_slow"}}).Set(static_cast<double>(suspected));
+    this->set_run_times(active_scheduler);
+}
+
+void fleet_metrics::set_run_times(const scheduling::scheduler* active_scheduler)
+{
+    for (prometheus::Gauge* each : std::exchange(this->run_time_rows, {})) {
+        this->run_times.Remove(each);
+    }
+    if (active_scheduler == nullptr) {
+        return;
+    }
+    for (const auto& row : active_scheduler->run_times().summaries(max_queue_labels)) {
+        const std::vector<std::pair<std::string, common::milliseconds>> quantiles{
+            {"0.5", row.median}, {"0.95", row.upper}};
+        for (const auto& [share, time] : quantiles) {
+            prometheus::Gauge& gauge =
+                this->run_times.Add({{"queue", row.queue}, {"quantile", share}});
+            gauge.Set(seconds(time));
+            this->run_time_rows.push_back(&gauge);
+        }
+    }
 }
 
 std::string fleet_metrics::text(const state& current)
--- a/src/daemon/fleet_metrics.h
+++ b/src/daemon/fleet_metrics.h
@@ -51,6 +51,7 @@
 
 private:
     void set_scheduler_gauges(const scheduling::scheduler* active_scheduler);
+    void set_run_times(const scheduling::scheduler* active_scheduler);
 
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter>& calls;
@@ -63,6 +64,9 @@
     prometheus::Family<prometheus::Gauge>& node;
     prometheus::Family<prometheus::Gauge>& decisions;
     prometheus::Family<prometheus::Gauge>& workers;
+    prometheus::Family<prometheus::Gauge>& run_times;
+    /// Gauges that are exported, so that those of queues without a row can be removed.
+    std::vector<prometheus::Gauge*> run_time_rows;
 };
 
 } // namespace chervilslip::daemon
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -41,6 +41,10 @@
         return event_id::worker_suspected;
     case kind::worker_trusted:
         return event_id::worker_trusted;
+    case kind::worker_slow:
+        return event_id::worker_slow;
+    case kind::worker_recovered:
+        return event_id::worker_recovered;
     }
     return event_id::worker_suspected;
 }
--- a/src/scheduling/dispatch_round.cpp
+++ b/src/scheduling/dispatch_round.cpp
@@ -45,7 +45,8 @@
 
 const std::vector<worker_state*>& dispatch_round::usable_in(const std::string& pool)
 {
-    std::optional<std::vector<worker_state*>>& usable = this->pools[pool].usable;
+    pool_entry& entry = this->pools[pool];
+    std::optional<std::vector<worker_state*>>& usable = entry.usable;
     if (!usable) {
         usable.emplace();
         const auto found = this->workers.find(pool);
@@ -55,6 +56,9 @@
                 [this](const worker_state* each) { return is_usable(*each, this->begun_at); });
         }
         choose_probation(*usable);
+        std::copy_if(
+            usable->begin(), usable->end(), std::back_inserter(entry.slow),
+            [](const worker_state* each) { return each->speed.verdict == speed_verdict::slow; });
     }
     return *usable;
 }
@@ -75,6 +79,14 @@
                        [&size](const teams::resources& each) { return size.can_fit(each); });
 }
 
+bool dispatch_round::has_slow_room(const std::string& pool, const teams::resources& size) const
+{
+    const auto found = this->pools.find(pool);
+    return found != this->pools.end() &&
+           std::any_of(found->second.slow.begin(), found->second.slow.end(),
+                       [&size](const worker_state* each) { return each->has_room_for(size); });
+}
+
 std::set<std::string> dispatch_round::full_pools() const
 {
     std::set<std::string> full;
--- a/src/scheduling/dispatch_round.h
+++ b/src/scheduling/dispatch_round.h
@@ -26,12 +26,17 @@
     /// Returns whether a task of this size is known to fit on no worker of the pool.
     [[nodiscard]] bool fits_nowhere(const std::string& pool, const teams::resources& size) const;
 
+    /// Returns whether a slow worker of a pool has room for a task of this size. Work with little
+    /// slack does not use it, so a size that fits nowhere may fit there.
+    [[nodiscard]] bool has_slow_room(const std::string& pool, const teams::resources& size) const;
+
     /// Returns the pools that have no room for some size.
     [[nodiscard]] std::set<std::string> full_pools() const;
 
 private:
     struct pool_entry {
         std::optional<std::vector<worker_state*>> usable; ///< unset until asked for
+        std::vector<const worker_state*> slow;            ///< of the usable ones
         /// Minimal: no size is at least as large as another.
         std::vector<teams::resources> unplaceable_sizes;
     };
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -69,6 +69,8 @@
     /// Nothing is started while the latest confirmed input, cancellations included, is older than
     /// this; unset: not checked.
     std::optional<common::milliseconds> max_input_age;
+    /// How much longer a task runs outside its preferred rack; 1: not known.
+    double far_run_factor = 1.0;
 
     friend bool operator==(const scheduler_options&, const scheduler_options&) = default;
 };
@@ -163,6 +165,8 @@
         worker_lost,
         worker_suspected,
         worker_trusted,
+        worker_slow,
+        worker_recovered,
     };
     kind event{};
     std::string subject; ///< id of the job, task or worker
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -70,10 +70,15 @@
     if ((worker.on_probation && is_tried) || (request.retried && failed_recently)) {
         return std::nullopt;
     }
+    const std::optional<double> slowness = slow_worker_cost(worker.speed, request.speed, now);
+    if (!slowness) {
+        return std::nullopt;
+    }
     // Best fit: prefers the fullest VM, so that others become idle and can be moved to another
     // pool.
     double cost = 1.0 - used_fraction(worker.used.processors + reserved.processors,
                                       entry.capacity.processors);
+    cost += *slowness;
     if (!request.preferred_rack.empty() && entry.rack != request.preferred_rack) {
         cost += remote_data_cost;
     }
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -20,6 +20,7 @@
     /// Set if the task runs only on the worker that is held for it.
     std::optional<jobs::task_id> isolated_task;
     const std::map<std::string, std::string>* tickets = nullptr; ///< allowed workers; null: all
+    speed_needs speed;
 
     friend bool operator==(const placement_request&, const placement_request&) = default;
 };
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -11,6 +11,7 @@
 #include "scheduling/dispatch_round.h"
 #include "scheduling/duration_estimator.h"
 #include "scheduling/journal_lane.h"
+#include "scheduling/placement.h"
 #include "scheduling/progress.h"
 #include "scheduling/worker_state.h"
 
@@ -143,6 +144,9 @@
     /// long-running jobs.
     [[nodiscard]] std::int64_t startable_tasks() const;
 
+    /// Returns what was learned of the run times of queues.
+    [[nodiscard]] const duration_estimator& run_times() const;
+
     /// Returns how many runs of long-running tasks may exist on a worker.
     [[nodiscard]] std::int64_t lasting_runs(const std::string& worker) const;
 
@@ -169,6 +173,7 @@
         std::int64_t load = 0;
         bool redundant = false; ///< an earlier run of the task has completed after all
         bool inherited = false; ///< an earlier owner started it, at a time that is not known
+        bool resumed = false;   ///< from a checkpoint, so its time is not that of a whole run
         common::steady_time sent_at;
         /// Until then the start may still reach this instance of the worker, to which it was not
         /// sent, or the next one, although this one has been told to reject it.
@@ -229,9 +234,15 @@
         std::map<jobs::task_id, charged_failures> failures_by_task;
     };
 
+    /// Groups of the dispatch order. Load pattern: a turn of demand beyond a pool's size. Jobs with
+    /// the least slack first would all start when their slack is used up, and all end late. So jobs
+    /// that will probably be in time go first, and the others wait for the capacity that these
+    /// leave.
+    enum class dispatch_group { long_running, likely_in_time, perhaps_in_time, late, too_late };
+
     /// Dispatch order of a job; the lowest rank is dispatched first.
     struct rank {
-        int group = 0;
+        dispatch_group group{};
         std::int64_t priority = 0;
         double score = 0;
 
@@ -319,6 +330,19 @@
     void release_hold(const jobs::task_id& task);
     void release_expired_holds(common::steady_time now);
 
+    // scheduler_speed.cpp: run times and the speed of workers
+    void begin_run_time(worker_state& worker, const active_job& job, const jobs::task_id& task,
+                        open_run& run, common::steady_time now);
+    void learn_run_time(worker_state& worker, const active_job& job, const open_run& run,
+                        const finished_run& finished, common::steady_time now);
+    void drop_run_time(worker_state& worker, const jobs::task_id& task, const open_run& run);
+    void review_speeds(common::steady_time now);
+    bool has_little_slack(const jobs::task_id& task);
+    speed_needs speed_needs_of(const jobs::task_id& task, const placement_request& request);
+    [[nodiscard]] step_shape run_shape(const worker_state& worker, const active_job& job,
+                                       jobs::step_index step) const;
+    [[nodiscard]] double run_scale(const worker_state& worker, const jobs::step& step) const;
+
     // scheduler_dispatch.cpp: dispatch and placement
     void dispatch_if_due(common::steady_time now, common::steady_time earliest);
     void dispatch(common::steady_time now, std::int64_t unix_ms);
@@ -391,6 +415,8 @@
     common::steady_time earlier_stops_until;
     std::int64_t last_unix_ms = 0;
     duration_estimator durations;
+    worker_speed speeds;
+    common::steady_time next_speed_review;
     best_effort_throttle throttle;
     advice_backlog needed_advice;
     crash_ledger unexplained_losses;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -29,11 +29,6 @@
 /// A ticket is not used within this time before its expiry.
 constexpr common::milliseconds ticket_expiry_margin{300};
 
-/// Groups of the dispatch order. Load pattern: a turn of demand beyond a pool's size. Jobs with the
-/// least slack first would all start when their slack is used up, and all end late. So jobs that
-/// will probably be in time go first, and the others wait for the capacity that these leave.
-enum dispatch_group { long_running, likely_in_time, perhaps_in_time, late, too_late };
-
 /// A job that has not begun needs this share of its path, and this time for each step, as a margin:
 /// run times are estimates, a step ends with its slowest task, and starts and ends take time to
 /// store and to report.
@@ -60,6 +55,7 @@
 
 scheduler::rank scheduler::rank_of(active_job& job, std::int64_t unix_ms) const
 {
+    using enum dispatch_group;
     const jobs::queue_policy& queue = this->policy_of(job);
     if (job.spec.is_long_running()) {
         return {long_running, queue.priority, static_cast<double>(job.spec.accepted_ms)};
@@ -143,6 +139,7 @@
     ++this->totals.dispatch_rounds;
     this->totals.jobs_ranked += ranked_jobs.size();
     this->index_pools();
+    this->review_speeds(now);
     this->round.emplace(*this->workers_by_pool, now);
     this->needed_advice.begin_round();
     for (const auto& [ignored, job] : ranked_jobs) {
@@ -253,9 +250,11 @@
     if (this->holds.contains(task)) {
         request.isolated_task = task;
     }
-    if (!request.isolated_task && this->round->fits_nowhere(request.pool, request.size)) {
+    if (!request.isolated_task && this->round->fits_nowhere(request.pool, request.size) &&
+        (!this->round->has_slow_room(request.pool, request.size) || this->has_little_slack(task))) {
         return nullptr;
     }
+    request.speed = this->speed_needs_of(task, request);
     const jobs::task_id first{task.job, task.occurrence, task.step, 0};
     std::map<std::string, std::int64_t> on_vm;
     std::map<std::string, std::int64_t> on_rack;
@@ -295,6 +294,9 @@
     if (best == nullptr && reserved.empty() && is_unconstrained(request)) {
         this->round->mark_fits_nowhere(request.pool, request.size);
     }
+    if (best != nullptr && request.speed.is_trial) {
+        worker_speed::note_trial(best->speed, now);
+    }
     return best;
 }
 
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -242,11 +242,7 @@
         worker.consecutive_failures = 0;
         worker.last_success = now;
         job->failures_by_task.erase(finished.task);
-        const auto run_time =
-            std::chrono::duration_cast<common::milliseconds>(now - run->second.confirmed_at);
-        if (run->second.phase == run_phase::running && finished.checkpoint.empty()) {
-            this->durations.add(job->spec.queue, run_time);
-        }
+        this->learn_run_time(worker, *job, run->second, finished, now);
     } else if (finished.cause == end_cause::failed) {
         this->charge_failure(*job, finished.task, worker);
         worker.last_failure = now;
@@ -359,6 +355,7 @@
         worker->second.lasting_runs -= job.spec.steps.at(task.step).long_running ? 1 : 0;
         worker->second.idle_since = this->last_now;
         worker->second.suspects.erase(task);
+        this->drop_run_time(worker->second, task, run->second);
     }
     this->release_hold(task);
     if (run->second.phase == run_phase::planned) {
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -22,6 +22,9 @@
 constexpr common::milliseconds no_capacity_pause{150};
 constexpr common::milliseconds unhealthy_pause{700};
 
+/// A poll that is answered so much later than its longest wait was held up on its way.
+constexpr common::milliseconds late_answer_margin{500};
+
 /// Maximum wait of a poll to a worker that runs best-effort tasks.
 constexpr common::milliseconds throttled_poll_wait{500};
 
@@ -347,6 +350,10 @@
                      "after " + std::to_string(worker->missed_polls) + " missed polls");
     }
     const bool was_unresponsive = worker->missed_polls > 0;
+    if (was_unresponsive ||
+        now > worker->poll_sent_at + this->options.poll_wait + late_answer_margin) {
+        worker_speed::ignore_open(worker->speed); // their ends may be reported late
+    }
     worker->missed_polls = 0;
     const bool first = !worker->token_seen;
     worker->token_seen = true;
@@ -392,6 +399,8 @@
         if (run.phase != run_phase::running) {
             run.phase = run_phase::running;
             run.confirmed_at = now;
+            this->begin_run_time(worker, this->jobs_by_id.at(reported.task.job), reported.task, run,
+                                 now);
         }
         run.may_arrive_until.reset();
         run.percent = reported.percent;
@@ -518,6 +527,9 @@
     if (answer.outcome == command_outcome::accepted) {
         run.phase = run_phase::running;
         run.confirmed_at = now;
+        if (worker != nullptr) {
+            this->begin_run_time(*worker, job, answer.task, run, now);
+        }
         if (job.progress.state == jobs::job_state::pending) {
             job.progress.state = jobs::job_state::running;
         }
--- a/src/scheduling/tests/scheduler_fixture.h
+++ b/src/scheduling/tests/scheduler_fixture.h
@@ -175,6 +175,7 @@
     std::vector<start_command> starts;
     std::vector<stop_command> stops;
     std::vector<advice_request> advice;
+    std::vector<decision_record> records;
     std::map<std::string, poll_command> polls; ///< pending, by worker id
     std::map<std::string, steady_time> poll_sent_at;
 
@@ -192,6 +193,8 @@
             this->advice.push_back(*request);
         } else if (auto* write = std::get_if<journal_write>(&decided)) {
             this->journal.push_back(*write);
+        } else if (auto* decision = std::get_if<decision_record>(&decided)) {
+            this->records.push_back(std::move(*decision));
         }
     }
 };
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "scheduling/messages.h"
+#include "scheduling/worker_speed.h"
 
 namespace chervilslip::scheduling {
 
@@ -67,6 +68,7 @@
     common::steady_time last_failure;
     common::steady_time blocked_until; ///< gets no new tasks before this time
     common::steady_time idle_since;
+    speed_record speed;
 
     /// Returns the lowest value that the worker's clock may have at `now`; 0 before any response.
     [[nodiscard]] std::int64_t clock_at(common::steady_time now) const;
