Test run times with a known far factor, and the choice of stragglers

Cause: no test covered farX, nor worker_speed::is_straggler, which docs/design/stragglers.md describes and nothing calls yet.

--- a/src/scheduling/tests/replayed_pool.h
+++ b/src/scheduling/tests/replayed_pool.h
@@ -14,11 +14,12 @@
     std::int64_t slots = 4; ///< tasks that a worker runs at the same time
     double load = 0.7;      ///< in multiples of what the pool can run
     std::int64_t run_ms = 1000;
-    double spread = 0.5;    ///< run times differ by up to this share
-    double tail = 0;        ///< share of the runs that take seven times as long
-    double far_factor = 1;  ///< how much longer runs take on half of the workers, far from data
-    std::int64_t tasks = 3; ///< most tasks of a job
-    double cheap_share = 0; ///< jobs of a queue whose objective is 30 times the run time
+    double spread = 0.5;       ///< run times differ by up to this share
+    double tail = 0;           ///< share of the runs that take seven times as long
+    double far_factor = 1;     ///< how much longer runs take on half of the workers, far from data
+    bool is_far_known = false; ///< the settings name that factor
+    std::int64_t tasks = 3;    ///< most tasks of a job
+    double cheap_share = 0;    ///< jobs of a queue whose objective is 30 times the run time
     std::uint64_t seed = 1;
 };
 
@@ -26,7 +27,8 @@
 class replayed_pool {
 public:
     explicit replayed_pool(const replayed_load& initial)
-        : load(initial), random(initial.seed), owner(std::make_unique<scheduler_fixture>(entries()))
+        : load(initial), random(initial.seed), owner(std::make_unique<scheduler_fixture>(
+                                                   entries(), std::vector<stored_job>{}, options()))
     {
         this->take_charge();
     }
@@ -62,7 +64,8 @@
             }
         }
         const std::int64_t now_ms = this->owner->now_ms;
-        this->owner = std::make_unique<scheduler_fixture>(entries(), std::move(restored));
+        this->owner =
+            std::make_unique<scheduler_fixture>(entries(), std::move(restored), options());
         this->owner->now_ms = now_ms;
         this->take_charge();
     }
@@ -133,6 +136,13 @@
         return all;
     }
 
+    [[nodiscard]] scheduler_options options() const
+    {
+        scheduler_options chosen;
+        chosen.far_run_factor = this->load.is_far_known ? this->load.far_factor : 1.0;
+        return chosen;
+    }
+
     static int number_of(const std::string& worker)
     {
         return std::stoi(worker.substr(1)) - 100;
--- a/src/scheduling/tests/slow_workers_tests.cpp
+++ b/src/scheduling/tests/slow_workers_tests.cpp
@@ -53,14 +53,21 @@
 Test(slow_workers, neither_a_tail_nor_far_data_makes_a_worker_slow)
 {
     for (replayed_load load : normal_loads) {
-        for (const double far_factor : {1.0, 3.0}) {
+        for (const auto& [far_factor, is_known] :
+             {std::pair{1.0, false}, {3.0, false}, {3.0, true}}) {
             load.tail = 0.03;
             load.far_factor = far_factor;
+            load.is_far_known = is_known;
             replayed_pool pool(load);
             const std::int64_t most = most_slow(pool, 60'000);
             cr_assert(most == 0, "slots %ld, load %.1f, far %.0f: %ld slow",
                       static_cast<long>(load.slots), load.load, far_factor,
                       static_cast<long>(most));
+            // Far runs don't count as long ones, neither with a known factor nor without.
+            const milliseconds upper = pool.owner->under_test.run_times().quantile(
+                "permits", shape_of(make_job("x").steps[0], 0), milliseconds(0), 0.9);
+            cr_assert(upper.count() < 2 * load.run_ms, "slots %ld, far %.0f: %ld",
+                      static_cast<long>(load.slots), far_factor, static_cast<long>(upper.count()));
         }
     }
 }
@@ -171,3 +178,29 @@
     const double normal = pool.mean_starts(0, slow_from, 28'000, 40'000);
     cr_assert(slow <= normal / 10, "%.2f of %.2f", slow, normal);
 }
+
+// Guards against copies of runs that would end later than the run itself: of normal ones, and of
+// those near the end of the tail.
+Test(slow_workers, a_straggler_is_a_run_that_a_fresh_one_would_overtake)
+{
+    run_time_distribution times;
+    for (int i = 0; i < 200; ++i) {
+        times.add(milliseconds(500 + 5 * (i * 37 % 200)));
+    }
+    worker_speed speeds;
+    speeds.refresh(times);
+    const std::vector<std::tuple<speed_verdict, std::int64_t, bool>> cases{
+        {speed_verdict::normal, 1000, false}, {speed_verdict::normal, 1500, false},
+        {speed_verdict::normal, 2200, true},  {speed_verdict::normal, 5000, true},
+        {speed_verdict::normal, 9900, false}, {speed_verdict::slow, 1500, false},
+        {speed_verdict::slow, 2200, true},    {speed_verdict::slow, 7000, false}};
+    for (const auto& [verdict, age_ms, expected] : cases) {
+        speed_record worker;
+        worker.verdict = verdict;
+        judged_run run;
+        run.shape = &speeds.reference_of(times);
+        run.begun_at = time_at(0);
+        cr_assert(worker_speed::is_straggler(worker, run, time_at(age_ms)) == expected,
+                  "verdict %d, age %ld", static_cast<int>(verdict), static_cast<long>(age_ms));
+    }
+}
--- a/src/scheduling/worker_speed.cpp
+++ b/src/scheduling/worker_speed.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <utility>
 
 namespace chervilslip::scheduling {
 
