Keep room for large tasks and gangs, and backfill around it

Change: dispatch tells the reservation book of blocked and placed tasks, and choose_worker leaves out workers whose reservation a task would delay. Reservations yield to limits, labels, tickets, cordons, holds and lost workers, and to large tasks of earlier rank and long-running ones.

--- a/src/daemon/fleet_metrics.cpp
+++ b/src/daemon/fleet_metrics.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double ms_per_second = 1000.0;
+constexpr double thousandths_per_core = 1000.0;
 
 /// In seconds: from the latency of one store call to the longest time that clients wait.
 const prometheus::Histogram::BucketBoundaries latency_buckets{0.002, 0.005, 0.01, 0.025, 0.05,
@@ -60,7 +61,11 @@
       workers(prometheus::BuildGauge()
                   .Name("chervilslip_workers")
                   .Help("Workers by what the owner knows of them")
-                  .Register(this->registry))
+                  .Register(this->registry)),
+      reservations(prometheus::BuildGauge()
+                       .Name("chervilslip_reservations")
+                       .Help("Reservations for large tasks since the owner's claim")
+                       .Register(this->registry))
 {
 }
 
@@ -126,6 +131,29 @@
     this->workers.Add({{"state", "listed"}}).Set(static_cast<double>(listed));
     this->workers.Add({{"state", "silent"}}).Set(static_cast<double>(unresponsive));
     this->workers.Add({{"state", "runs"}}).Set(static_cast<double>(runs));
+    this->set_reservation_gauges(active_scheduler);
+}
+
+void fleet_metrics::set_reservation_gauges(const scheduling::scheduler* active_scheduler)
+{
+    scheduling::reservation_counters counts;
+    std::size_t open = 0;
+    if (active_scheduler != nullptr) {
+        counts = active_scheduler->reserved_places().counters();
+        open = active_scheduler->reserved_places().open().size();
+    }
+    const std::vector<std::pair<std::string, double>> rows{
+        {"open", static_cast<double>(open)},
+        {"made", static_cast<double>(counts.made)},
+        {"used", static_cast<double>(counts.used)},
+        {"given_up", static_cast<double>(counts.given_up)},
+        {"moved", static_cast<double>(counts.moved)},
+        {"held_core_seconds",
+         static_cast<double>(counts.held_core_ms) / (thousandths_per_core * ms_per_second)},
+        {"start_wait_seconds", static_cast<double>(counts.start_wait_ms) / ms_per_second}};
+    for (const auto& [name, value] : rows) {
+        this->reservations.Add({{"value", name}}).Set(value);
+    }
 }
 
 std::string fleet_metrics::text(const state& current)
--- a/src/daemon/fleet_metrics.h
+++ b/src/daemon/fleet_metrics.h
@@ -51,6 +51,7 @@
 
 private:
     void set_scheduler_gauges(const scheduling::scheduler* active_scheduler);
+    void set_reservation_gauges(const scheduling::scheduler* active_scheduler);
 
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter>& calls;
@@ -63,6 +64,7 @@
     prometheus::Family<prometheus::Gauge>& node;
     prometheus::Family<prometheus::Gauge>& decisions;
     prometheus::Family<prometheus::Gauge>& workers;
+    prometheus::Family<prometheus::Gauge>& reservations;
 };
 
 } // namespace chervilslip::daemon
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -41,6 +41,12 @@
         return event_id::worker_suspected;
     case kind::worker_trusted:
         return event_id::worker_trusted;
+    case kind::reservation_made:
+        return event_id::reservation_made;
+    case kind::reservation_used:
+        return event_id::reservation_used;
+    case kind::reservation_given_up:
+        return event_id::reservation_given_up;
     }
     return event_id::worker_suspected;
 }
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -66,6 +66,7 @@
     std::size_t journal_lanes = 4; ///< journal writes that may be under way at the same time
     /// Size of a job's stored progress. The store refuses larger values for good.
     std::size_t max_document_bytes = 900'000;
+    bool reserves_room = true; ///< for large tasks; off only to compare
     /// Nothing is started while the latest confirmed input, cancellations included, is older than
     /// this; unset: not checked.
     std::optional<common::milliseconds> max_input_age;
@@ -163,6 +164,9 @@
         worker_lost,
         worker_suspected,
         worker_trusted,
+        reservation_made,
+        reservation_used,
+        reservation_given_up,
     };
     kind event{};
     std::string subject; ///< id of the job, task or worker
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -12,6 +12,7 @@
 #include "scheduling/duration_estimator.h"
 #include "scheduling/journal_lane.h"
 #include "scheduling/progress.h"
+#include "scheduling/reservations.h"
 #include "scheduling/worker_state.h"
 
 namespace chervilslip::scheduling {
@@ -146,6 +147,9 @@
     /// Returns how many runs of long-running tasks may exist on a worker.
     [[nodiscard]] std::int64_t lasting_runs(const std::string& worker) const;
 
+    /// Returns the reservations for large tasks.
+    [[nodiscard]] const reservation_book& reserved_places() const;
+
 private:
     static constexpr std::int64_t full_speed_percent = 100; ///< of a serving task
 
@@ -354,6 +358,23 @@
     choose_advised_workers(const active_job& job, const step_id& step, common::steady_time now);
     void ask_for_advice(common::steady_time now);
     [[nodiscard]] rank rank_of(active_job& job, std::int64_t unix_ms) const;
+
+    // scheduler_reservations.cpp: reservations for large tasks
+    void begin_reservations(common::steady_time now);
+    void end_reservations(common::steady_time now);
+    void note_blocked(const active_job& job, const jobs::task_id& task);
+    [[nodiscard]] placement_claim claim_of(const active_job& job, const jobs::task_id& task,
+                                           common::steady_time now);
+    [[nodiscard]] const pool_capacity& reservable_capacity(const std::string& pool);
+    [[nodiscard]] bool may_host_reservation(const active_job& job, const step_id& step,
+                                            const worker_state& worker,
+                                            common::steady_time now) const;
+    [[nodiscard]] common::milliseconds forecast_run_time(const active_job& job,
+                                                         const jobs::step& step) const;
+    [[nodiscard]] worker_forecast forecast_worker(const worker_state& worker,
+                                                  common::steady_time now) const;
+    [[nodiscard]] std::vector<worker_forecast> forecast_workers(const blocked_step& what,
+                                                                common::steady_time now);
     void flush_journal(common::steady_time now);
     void flush_lane(std::size_t number, common::steady_time now);
     void send_batch_starts(journal_lane& lane, common::steady_time now);
@@ -393,6 +414,7 @@
     duration_estimator durations;
     best_effort_throttle throttle;
     advice_backlog needed_advice;
+    reservation_book reservations;
     crash_ledger unexplained_losses;
     crash_rate recent_crashes;
     /// Long-running tasks that are not to be started before a time, because they crash workers.
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -145,6 +145,7 @@
     this->index_pools();
     this->round.emplace(*this->workers_by_pool, now);
     this->needed_advice.begin_round();
+    this->begin_reservations(now);
     for (const auto& [ignored, job] : ranked_jobs) {
         for (std::int64_t k = 0; k < job->spec.occurrences(); ++k) {
             if (job->spec.repeats > 0 && job->spec.due_ms(k) + due_margin_ms > unix_ms) {
@@ -155,6 +156,7 @@
             }
         }
     }
+    this->end_reservations(now);
     this->full_pools = this->round->full_pools();
     this->round.reset();
     this->ask_for_advice(now);
@@ -256,6 +258,14 @@
     if (!request.isolated_task && this->round->fits_nowhere(request.pool, request.size)) {
         return nullptr;
     }
+    std::optional<placement_claim> claim;
+    if (!this->reservations.open().empty()) {
+        claim = this->claim_of(job, task, now);
+        if (this->reservations.refuses(*claim)) {
+            return nullptr;
+        }
+    }
+    bool is_withheld = false;
     const jobs::task_id first{task.job, task.occurrence, task.step, 0};
     std::map<std::string, std::int64_t> on_vm;
     std::map<std::string, std::int64_t> on_rack;
@@ -279,21 +289,33 @@
         }
         const std::string& id = worker->entry.instance.id;
         const auto claimed = reserved.find(id);
+        const teams::resources claimed_size =
+            claimed == reserved.end() ? teams::resources{} : claimed->second;
+        std::optional<double> displacement = 0.0;
+        if (claim) {
+            displacement = this->reservations.cost_of(id, *claim, claimed_size);
+        }
+        if (!displacement) {
+            is_withheld = true;
+            continue;
+        }
         const auto same_vm = on_vm.find(id);
         const auto same_rack =
             request.spread_racks ? on_rack.find(worker->entry.rack) : on_rack.end();
         const step_neighbours neighbours{same_vm == on_vm.end() ? 0 : same_vm->second,
                                          same_rack == on_rack.end() ? 0 : same_rack->second};
-        const auto cost =
-            placement_cost(*worker, request, neighbours,
-                           claimed == reserved.end() ? teams::resources{} : claimed->second, now);
-        if (cost && (best == nullptr || *cost < best_cost)) {
+        const auto cost = placement_cost(*worker, request, neighbours, claimed_size, now);
+        if (cost && (best == nullptr || *cost + *displacement < best_cost)) {
             best = worker;
-            best_cost = *cost;
+            best_cost = *cost + *displacement;
         }
     }
     if (best == nullptr && reserved.empty() && is_unconstrained(request)) {
-        this->round->mark_fits_nowhere(request.pool, request.size);
+        if (is_withheld) {
+            this->reservations.note_refused(*claim);
+        } else {
+            this->round->mark_fits_nowhere(request.pool, request.size);
+        }
     }
     return best;
 }
@@ -472,6 +494,7 @@
         tickets = this->find_tickets(job, task.occurrence, task.step, now);
         if (tickets == nullptr) {
             this->want_tickets(job, task.occurrence, task.step, now);
+            this->note_blocked(job, task);
             return false;
         }
     }
@@ -483,6 +506,7 @@
         if (tickets != nullptr) {
             this->want_tickets(job, task.occurrence, task.step, now);
         }
+        this->note_blocked(job, task);
         return false;
     }
     const auto& progress = job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
@@ -514,6 +538,7 @@
         tickets = this->find_tickets(job, occurrence, step, now);
         if (tickets == nullptr) {
             this->want_tickets(job, occurrence, step, now);
+            this->note_blocked(job, {job.spec.id, occurrence, step, 0});
             return false;
         }
     }
@@ -557,6 +582,7 @@
     if (tickets != nullptr) {
         this->want_tickets(job, occurrence, step, now);
     }
+    this->note_blocked(job, {job.spec.id, occurrence, step, 0});
     return false;
 }
 
@@ -577,6 +603,10 @@
     planned.worker = worker.entry.instance;
     planned.run = run;
     planned.planned_at = now;
+    if (!this->reservations.is_idle()) {
+        this->reservations.note_placed(this->claim_of(job, task, now), planned.worker.id,
+                                       counts.waiting);
+    }
     this->open_runs[task] = planned;
     const teams::resources size = footprint(job.spec.steps.at(task.step));
     worker.runs.insert(task);
