Ask the advice service for no room that a reservation withholds

Cause: steps of advised queues ask for tickets when a worker has room. The room on a reserved worker counted, so steps that may not use it asked first, and the task that it is kept for waited for their calls.

Change: want_tickets leaves out workers whose room is withheld from the step. A test plays an advised large task whose first reserved worker is denied, beside a smaller advised task of earlier rank.

Measured: the new test fails without this change (the smaller task asks first), and fails if denied workers stay reserved (no start within 2.5 s).

--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -365,6 +365,9 @@
     void note_blocked(const active_job& job, const jobs::task_id& task);
     [[nodiscard]] placement_claim claim_of(const active_job& job, const jobs::task_id& task,
                                            common::steady_time now);
+    /// Returns nothing if there are no reservations, which saves its cost.
+    [[nodiscard]] std::optional<placement_claim>
+    claim_if_reserved(const active_job& job, const jobs::task_id& task, common::steady_time now);
     [[nodiscard]] const pool_capacity& reservable_capacity(const std::string& pool);
     [[nodiscard]] bool may_host_reservation(const active_job& job, const step_id& step,
                                             const worker_state& worker,
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -258,12 +258,9 @@
     if (!request.isolated_task && this->round->fits_nowhere(request.pool, request.size)) {
         return nullptr;
     }
-    std::optional<placement_claim> claim;
-    if (!this->reservations.open().empty()) {
-        claim = this->claim_of(job, task, now);
-        if (this->reservations.refuses(*claim)) {
-            return nullptr;
-        }
+    const std::optional<placement_claim> claim = this->claim_if_reserved(job, task, now);
+    if (claim && this->reservations.refuses(*claim)) {
+        return nullptr;
     }
     bool is_withheld = false;
     const jobs::task_id first{task.job, task.occurrence, task.step, 0};
@@ -370,11 +367,16 @@
         return;
     }
     const ticket_cache& known = job.tickets[{occurrence, step}];
+    const auto claim = this->claim_if_reserved(job, {job.spec.id, occurrence, step, 0}, now);
     bool fits_somewhere = false;
     for (const worker_state* each : this->round->usable_in(pool)) {
         if (!each->has_room_for(size)) {
             continue;
         }
+        if (claim && !this->reservations.cost_of(each->entry.instance.id, *claim, {})) {
+            fits_somewhere = true; // for the tasks that it is reserved for
+            continue;
+        }
         fits_somewhere = true;
         if (is_worth_asking_for(*each, spec, known)) {
             this->needed_advice.add({job.spec.id, occurrence, step}, now);
--- a/src/scheduling/scheduler_reservations.cpp
+++ b/src/scheduling/scheduler_reservations.cpp
@@ -88,6 +88,16 @@
     return claim;
 }
 
+std::optional<placement_claim> scheduler::claim_if_reserved(const active_job& job,
+                                                            const jobs::task_id& task,
+                                                            common::steady_time now)
+{
+    if (this->reservations.open().empty()) {
+        return std::nullopt;
+    }
+    return this->claim_of(job, task, now);
+}
+
 bool scheduler::may_host_reservation(const active_job& job, const step_id& step,
                                      const worker_state& worker, common::steady_time now) const
 {
--- a/src/scheduling/tests/backfill_tests.cpp
+++ b/src/scheduling/tests/backfill_tests.cpp
@@ -105,7 +105,9 @@
     std::int64_t tasks_per_job = 1;
     bool streams = true;
     std::int64_t small_ends = 0;
-    std::set<std::string> silent; ///< workers that answer no polls
+    std::set<std::string> silent;          ///< workers that answer no polls
+    std::set<std::string> denied;          ///< workers that the advice service does not allow
+    std::vector<std::string> advised_jobs; ///< of each call to that service
     std::vector<std::string> sequence;
     std::map<std::string, std::int64_t> started_ms;
     std::map<std::string, std::int64_t> run_ms;
@@ -143,6 +145,18 @@
             this->runs.push_back({each, this->fixture.now_ms + this->run_ms.at(job)});
             this->fixture.answer_start(each, command_outcome::accepted);
         }
+        for (const advice_request& each : std::exchange(this->fixture.advice, {})) {
+            this->advised_jobs.push_back(each.job);
+            std::map<std::string, std::string> tickets;
+            for (const std::string& worker : each.workers) {
+                if (!this->denied.contains(worker)) {
+                    tickets[worker] = "ticket";
+                }
+            }
+            this->fixture.under_test.handle_advice(
+                {each.job, each.occurrence, each.step, tickets, milliseconds(3000)},
+                this->fixture.now());
+        }
         std::map<std::string, std::vector<reported_run>> running;
         std::erase_if(this->runs, [&](const run_state& each) {
             const std::string& worker = each.start.worker.id;
@@ -296,6 +310,36 @@
     }
 }
 
+/// Guards against room that is kept on a worker which the advice service denies, and against calls
+/// to that service for tasks that may not use the room.
+Test(backfill, a_reservation_leaves_a_worker_that_the_advice_service_denies)
+{
+    contended_pool pool(8);
+    pool.run_until(warm_up_ms);
+    jobs::job large = make_large_job("l1");
+    large.policy.advised = true;
+    pool.submit(large);
+    while (pool.book().open().empty() && pool.fixture.now_ms < warm_up_ms + 500) {
+        pool.run_until(pool.fixture.now_ms + step_ms);
+    }
+    pool.denied.insert(pool.reserved_worker());
+    jobs::job small = make_job("x1"); // only the reserved worker gets room for it
+    small.queue = "small";
+    small.policy.advised = true;
+    small.steps[0].task_resources.processors = worker_processors / 2;
+    pool.submit(small);
+    while (pool.wait_of("l1") < 0 && pool.fixture.now_ms < warm_up_ms + 2500) {
+        pool.run_until(pool.fixture.now_ms + step_ms);
+    }
+
+    const std::int64_t wait = pool.wait_of("l1");
+    cr_assert(wait >= 0 && wait <= 2 * 1100 + 200, "%ld ms", static_cast<long>(wait));
+    cr_assert(!pool.denied.contains(pool.first_worker.at("l1")));
+    cr_assert_eq(pool.book().counters().given_up, 1);
+    cr_assert(!pool.advised_jobs.empty());
+    cr_assert_eq(pool.advised_jobs[0], "l1");
+}
+
 /// Guards against room that is kept for a job which has ended.
 Test(backfill, a_cancelled_job_keeps_no_room)
 {
