--- a/src/daemon/fleet_metrics.h
+++ b/src/daemon/fleet_metrics.h
@@ -55,6 +55,7 @@
 private:
     void set_scheduler_gauges(const scheduling::scheduler* active_scheduler);
     void set_run_times(const scheduling::scheduler* active_scheduler);
+    void set_reservation_gauges(const scheduling::scheduler* active_scheduler);
 
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter>& calls;
@@ -71,6 +72,7 @@
     prometheus::Family<prometheus::Gauge>& run_times;
     /// Gauges that are exported, so that those of queues without a row can be removed.
     std::vector<prometheus::Gauge*> run_time_rows;
+    prometheus::Family<prometheus::Gauge>& reservations;
 };
 
 } // namespace chervilslip::daemon
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -142,6 +142,7 @@
     this->review_speeds(now);
     this->round.emplace(*this->workers_by_pool, now);
     this->needed_advice.begin_round();
+    this->begin_reservations(now);
     for (const auto& [ignored, job] : ranked_jobs) {
         for (std::int64_t k = 0; k < job->spec.occurrences(); ++k) {
             if (job->spec.repeats > 0 && job->spec.due_ms(k) + due_margin_ms > unix_ms) {
@@ -152,6 +153,7 @@
             }
         }
     }
+    this->end_reservations(now);
     this->full_pools = this->round->full_pools();
     this->round.reset();
     this->ask_for_advice(now);
@@ -255,6 +257,11 @@
         return nullptr;
     }
     request.speed = this->speed_needs_of(task, request);
+    const std::optional<placement_claim> claim = this->claim_if_reserved(job, task, now);
+    if (claim && this->reservations.refuses(*claim)) {
+        return nullptr;
+    }
+    bool is_withheld = false;
     const jobs::task_id first{task.job, task.occurrence, task.step, 0};
     std::map<std::string, std::int64_t> on_vm;
     std::map<std::string, std::int64_t> on_rack;
@@ -278,21 +285,33 @@
         }
         const std::string& id = worker->entry.instance.id;
         const auto claimed = reserved.find(id);
+        const teams::resources claimed_size =
+            claimed == reserved.end() ? teams::resources{} : claimed->second;
+        std::optional<double> displacement = 0.0;
+        if (claim) {
+            displacement = this->reservations.cost_of(id, *claim, claimed_size);
+        }
+        if (!displacement) {
+            is_withheld = true;
+            continue;
+        }
         const auto same_vm = on_vm.find(id);
         const auto same_rack =
             request.spread_racks ? on_rack.find(worker->entry.rack) : on_rack.end();
         const step_neighbours neighbours{same_vm == on_vm.end() ? 0 : same_vm->second,
                                          same_rack == on_rack.end() ? 0 : same_rack->second};
-        const auto cost =
-            placement_cost(*worker, request, neighbours,
-                           claimed == reserved.end() ? teams::resources{} : claimed->second, now);
-        if (cost && (best == nullptr || *cost < best_cost)) {
+        const auto cost = placement_cost(*worker, request, neighbours, claimed_size, now);
+        if (cost && (best == nullptr || *cost + *displacement < best_cost)) {
             best = worker;
-            best_cost = *cost;
+            best_cost = *cost + *displacement;
         }
     }
     if (best == nullptr && reserved.empty() && is_unconstrained(request)) {
-        this->round->mark_fits_nowhere(request.pool, request.size);
+        if (is_withheld) {
+            this->reservations.note_refused(*claim);
+        } else {
+            this->round->mark_fits_nowhere(request.pool, request.size);
+        }
     }
     if (best != nullptr && request.speed.is_trial) {
         worker_speed::note_trial(best->speed, now);
@@ -350,11 +369,16 @@
         return;
     }
     const ticket_cache& known = job.tickets[{occurrence, step}];
+    const auto claim = this->claim_if_reserved(job, {job.spec.id, occurrence, step, 0}, now);
     bool fits_somewhere = false;
     for (const worker_state* each : this->round->usable_in(pool)) {
         if (!each->has_room_for(size)) {
             continue;
         }
+        if (claim && !this->reservations.cost_of(each->entry.instance.id, *claim, {})) {
+            fits_somewhere = true; // for the tasks that it is reserved for
+            continue;
+        }
         fits_somewhere = true;
         if (is_worth_asking_for(*each, spec, known)) {
             this->needed_advice.add({job.spec.id, occurrence, step}, now);
@@ -474,6 +498,7 @@
         tickets = this->find_tickets(job, task.occurrence, task.step, now);
         if (tickets == nullptr) {
             this->want_tickets(job, task.occurrence, task.step, now);
+            this->note_blocked(job, task);
             return false;
         }
     }
@@ -485,6 +510,7 @@
         if (tickets != nullptr) {
             this->want_tickets(job, task.occurrence, task.step, now);
         }
+        this->note_blocked(job, task);
         return false;
     }
     const auto& progress = job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
@@ -516,6 +542,7 @@
         tickets = this->find_tickets(job, occurrence, step, now);
         if (tickets == nullptr) {
             this->want_tickets(job, occurrence, step, now);
+            this->note_blocked(job, {job.spec.id, occurrence, step, 0});
             return false;
         }
     }
@@ -559,6 +586,7 @@
     if (tickets != nullptr) {
         this->want_tickets(job, occurrence, step, now);
     }
+    this->note_blocked(job, {job.spec.id, occurrence, step, 0});
     return false;
 }
 
@@ -579,6 +607,10 @@
     planned.worker = worker.entry.instance;
     planned.run = run;
     planned.planned_at = now;
+    if (!this->reservations.is_idle()) {
+        this->reservations.note_placed(this->claim_of(job, task, now), planned.worker.id,
+                                       counts.waiting);
+    }
     this->open_runs[task] = planned;
     const teams::resources size = footprint(job.spec.steps.at(task.step));
     worker.runs.insert(task);
