--- a/src/teams/fair_share.cpp
+++ b/src/teams/fair_share.cpp
@@ -74,9 +74,16 @@
 }
 
 double fair_share::weighted_dominant_share(const std::string& team) const
+{
+    return this->weighted_dominant_share_with(team, {});
+}
+
+double fair_share::weighted_dominant_share_with(const std::string& team,
+                                                const resources& more) const
 {
     resources used = usage_of(this->local, team);
     used += usage_of(this->remote, team);
+    used += more;
     const double dominant = std::max({fraction(used.processors, this->capacity.processors),
                                       fraction(used.memory_mb, this->capacity.memory_mb),
                                       fraction(used.accelerators, this->capacity.accelerators),
--- a/src/teams/fair_share.h
+++ b/src/teams/fair_share.h
@@ -47,6 +47,10 @@
     /// Returns the team's largest share of any one resource, divided by its weight.
     [[nodiscard]] double weighted_dominant_share(const std::string& team) const;
 
+    /// Returns the same as if the team also ran tasks that use `more`.
+    [[nodiscard]] double weighted_dominant_share_with(const std::string& team,
+                                                      const resources& more) const;
+
     /// Returns the resources in use by each team's tasks of this node.
     [[nodiscard]] const std::map<std::string, resources>& local_running() const;
 
