Dispatch the jobs of a short pool by their teams' shares

Cause: team A submits work of 10 s for a whole pool, B 0.5 s later work of 1.7 s; B's last job ended after 11.9 s with real processes.

Change: scheduler::dispatch asks team_order for the next job, and each task for which no worker has room is noted. Usage comes from the open runs of all jobs, so that a new owner knows it. The bench measures a tick with a backlog of one and of twenty teams.

--- a/src/bench/cell_bench.cpp
+++ b/src/bench/cell_bench.cpp
@@ -20,13 +20,15 @@
 /// A cell whose workers start what they are told and end it after a second.
 class busy_cell {
 public:
-    explicit busy_cell(std::int64_t size)
-        : decides(scheduler_options{}), job_gap(job_gap_today / size)
+    explicit busy_cell(std::int64_t size, std::int64_t all_teams = 1)
+        : decides(scheduler_options{}), job_gap(job_gap_today / size), teams(all_teams)
     {
         policy rules;
         rules.version = 1;
         rules.queues["queue"] = {"main", 0, 3, 1.5, milliseconds(600), false};
-        rules.teams["team"] = {1.0, {}};
+        for (std::int64_t i = 0; i < all_teams; ++i) {
+            rules.teams["team" + std::to_string(i)] = {1.0, {}};
+        }
         this->decides.configure(rules);
         this->decides.restore({}, this->now);
         std::vector<worker_entry> entries;
@@ -53,7 +55,7 @@
         jobs::job job;
         job.id = "job" + std::to_string(++this->number);
         job.queue = "queue";
-        job.team = "team";
+        job.team = "team" + std::to_string(this->number % this->teams);
         job.policy = {"main", 0, 3, 1.5, milliseconds(600), false};
         job.accepted_ms = start_unix_ms + this->now_ms();
         jobs::step& step = job.steps.emplace_back();
@@ -191,6 +193,7 @@
 
     scheduler decides;
     std::chrono::microseconds job_gap;
+    std::int64_t teams;
     common::steady_time now{std::chrono::hours(1)};
     common::steady_time next_tick;
     common::steady_time next_wait_check;
@@ -209,18 +212,19 @@
     state.counters["completed"] = static_cast<double>(fleet.completed() - before);
 }
 
-/// One look at the clock while every worker is full and jobs of many queues wait.
+/// One look at the clock while every worker is full and jobs wait, of one team or of twenty, among
+/// which the pool is divided.
 void tick_with_backlog(benchmark::State& state)
 {
     constexpr std::int64_t waiting_jobs = 1000;
-    busy_cell fleet(state.range(0));
+    busy_cell fleet(state.range(0), state.range(1));
     fleet.fill(waiting_jobs);
     for (auto _ : state) {
         fleet.tick();
     }
 }
 
-BENCHMARK(tick_with_backlog)->Arg(1)->Arg(7)->Arg(22);
+BENCHMARK(tick_with_backlog)->ArgsProduct({{1, 7, 22}, {1, 20}});
 BENCHMARK(job_at_owner)->Arg(1)->Arg(7)->Arg(22);
 
 } // namespace
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -41,6 +41,8 @@
         return event_id::worker_suspected;
     case kind::worker_trusted:
         return event_id::worker_trusted;
+    case kind::team_below_share:
+        return event_id::team_below_share;
     }
     return event_id::worker_suspected;
 }
--- a/src/scheduling/dispatch_round.cpp
+++ b/src/scheduling/dispatch_round.cpp
@@ -75,6 +75,16 @@
                        [&size](const teams::resources& each) { return size.can_fit(each); });
 }
 
+void dispatch_round::set_lacked_room(bool lacked)
+{
+    this->choice_lacked_room = lacked;
+}
+
+bool dispatch_round::lacked_room() const
+{
+    return this->choice_lacked_room;
+}
+
 std::set<std::string> dispatch_round::full_pools() const
 {
     std::set<std::string> full;
--- a/src/scheduling/dispatch_round.h
+++ b/src/scheduling/dispatch_round.h
@@ -26,6 +26,10 @@
     /// Returns whether a task of this size is known to fit on no worker of the pool.
     [[nodiscard]] bool fits_nowhere(const std::string& pool, const teams::resources& size) const;
 
+    /// Records whether the latest choice of a worker failed because none has room.
+    void set_lacked_room(bool lacked);
+    [[nodiscard]] bool lacked_room() const;
+
     /// Returns the pools that have no room for some size.
     [[nodiscard]] std::set<std::string> full_pools() const;
 
@@ -39,6 +43,7 @@
     const pool_index& workers;
     common::steady_time begun_at;
     std::map<std::string, pool_entry> pools;
+    bool choice_lacked_room = false;
 };
 
 } // namespace chervilslip::scheduling
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -163,9 +163,10 @@
         worker_lost,
         worker_suspected,
         worker_trusted,
+        team_below_share,
     };
     kind event{};
-    std::string subject; ///< id of the job, task or worker
+    std::string subject; ///< id of the job, task or worker, or the team
     std::string detail;
 
     friend bool operator==(const decision_record&, const decision_record&) = default;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -99,6 +99,11 @@
     for (const auto& [name, queue] : this->current_policy.queues) {
         this->known_pools.insert(queue.pool);
     }
+    std::map<std::string, double> weights;
+    for (const auto& [name, team] : this->current_policy.teams) {
+        weights[name] = team.weight;
+    }
+    this->order.set_weights(std::move(weights));
     this->dispatch_due = true;
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -12,6 +12,7 @@
 #include "scheduling/duration_estimator.h"
 #include "scheduling/journal_lane.h"
 #include "scheduling/progress.h"
+#include "scheduling/team_order.h"
 #include "scheduling/worker_state.h"
 
 namespace chervilslip::scheduling {
@@ -139,6 +140,9 @@
     /// Returns the demand per pool, without tasks beyond their team's quota.
     [[nodiscard]] std::map<std::string, fleet::pool_demand> demand() const;
 
+    /// Returns what each team with work in a pool has of it.
+    [[nodiscard]] std::vector<team_share> team_shares() const;
+
     /// Returns how many tasks could be started as far as their job is concerned, without those of
     /// long-running jobs.
     [[nodiscard]] std::int64_t startable_tasks() const;
@@ -229,6 +233,12 @@
         std::map<jobs::task_id, charged_failures> failures_by_task;
     };
 
+    /// Groups of the dispatch order. Load pattern: a turn of demand beyond a pool's size. Jobs with
+    /// the least slack first would all start when their slack is used up, and all end late. So jobs
+    /// that will probably be in time go first, and the others wait for the capacity that these
+    /// leave.
+    enum dispatch_group { long_running, likely_in_time, perhaps_in_time, late, too_late };
+
     /// Dispatch order of a job; the lowest rank is dispatched first.
     struct rank {
         int group = 0;
@@ -238,6 +248,16 @@
         friend auto operator<=>(const rank&, const rank&) = default;
     };
 
+    using ranked_list = std::vector<std::pair<rank, active_job*>>;
+
+    // scheduler_shares.cpp: what teams have of their pools
+    [[nodiscard]] static bool has_begun(const active_job& job);
+    [[nodiscard]] static std::pair<teams::resources, teams::resources>
+    running_size(const active_job& job);
+    void begin_order(const ranked_list& ranked_jobs, common::steady_time now);
+    void end_order();
+    void note_if_room_lacks(const active_job& job, const teams::resources& size);
+
     // scheduler_jobs.cpp: jobs and ended runs
     active_job* find_job(const std::string& id);
     void add_job(stored_job&& stored, common::steady_time now);
@@ -407,6 +427,7 @@
     common::steady_time earliest_dispatch; ///< spaces rounds, which take long for a backlog
     common::steady_time earliest_reaction; ///< spaces the rounds that events cause
     std::optional<dispatch_round> round;   ///< set while tasks are placed
+    team_order order;                      ///< of dispatch
     /// Pools in which an unconstrained task found no room in the latest round.
     std::set<std::string> full_pools;
     bool fenced = false;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -29,11 +29,6 @@
 /// A ticket is not used within this time before its expiry.
 constexpr common::milliseconds ticket_expiry_margin{300};
 
-/// Groups of the dispatch order. Load pattern: a turn of demand beyond a pool's size. Jobs with the
-/// least slack first would all start when their slack is used up, and all end late. So jobs that
-/// will probably be in time go first, and the others wait for the capacity that these leave.
-enum dispatch_group { long_running, likely_in_time, perhaps_in_time, late, too_late };
-
 /// A job that has not begun needs this share of its path, and this time for each step, as a margin:
 /// run times are estimates, a step ends with its slowest task, and starts and ends take time to
 /// store and to report.
@@ -71,11 +66,10 @@
     const auto remaining = static_cast<double>(job.paths.remaining.count());
     const double slack = objective - age - remaining;
     // Begun jobs go on as long as they may still be in time, because what has run would be wasted.
-    const bool has_begun = job.history.starts > 0 || job.progress.state == jobs::job_state::running;
     const double margin =
-        has_begun ? -begun_overrun_share * remaining
-                  : estimate_error_share * remaining +
-                        static_cast<double>(job.paths.remaining_steps * step_overhead.count());
+        has_begun(job) ? -begun_overrun_share * remaining
+                       : estimate_error_share * remaining +
+                             static_cast<double>(job.paths.remaining_steps * step_overhead.count());
     if (slack >= margin) {
         return {likely_in_time, queue.priority, slack};
     }
@@ -122,7 +116,7 @@
 void scheduler::dispatch(common::steady_time now, std::int64_t unix_ms)
 {
     this->next_dispatch = now + dispatch_interval;
-    std::vector<std::pair<rank, active_job*>> ranked_jobs;
+    ranked_list ranked_jobs;
     for (auto& [id, job] : this->jobs_by_id) {
         if (jobs::is_final(job.progress.state)) {
             continue;
@@ -145,7 +139,9 @@
     this->index_pools();
     this->round.emplace(*this->workers_by_pool, now);
     this->needed_advice.begin_round();
-    for (const auto& [ignored, job] : ranked_jobs) {
+    this->begin_order(ranked_jobs, now);
+    while (const auto number = this->order.next()) {
+        active_job* job = ranked_jobs[*number].second;
         for (std::int64_t k = 0; k < job->spec.occurrences(); ++k) {
             if (job->spec.repeats > 0 && job->spec.due_ms(k) + due_margin_ms > unix_ms) {
                 break;
@@ -155,6 +151,7 @@
             }
         }
     }
+    this->end_order();
     this->full_pools = this->round->full_pools();
     this->round.reset();
     this->ask_for_advice(now);
@@ -193,8 +190,10 @@
     if (counts.waiting == 0 || !this->is_step_ready(job, occurrence, step)) {
         return;
     }
+    const teams::resources size = footprint(job.spec.steps[step]);
     if (job.spec.steps[step].gang) {
-        if (counts.open == 0) {
+        if (counts.open == 0 &&
+            !this->order.must_yield(total_of(size, job.spec.steps[step].count))) {
             this->place_gang(job, occurrence, step, now);
         }
         return;
@@ -204,6 +203,9 @@
         if (tasks[i].state != task_progress::phase::waiting) {
             continue;
         }
+        if (this->order.must_yield(size)) {
+            return;
+        }
         const jobs::task_id task{job.spec.id, occurrence, step, static_cast<std::int64_t>(i)};
         // A retried or suspected task has more constraints, so the others may still fit.
         if (!this->place_task(job, task, now) && tasks[i].failures == 0 &&
@@ -253,6 +255,7 @@
     if (this->holds.contains(task)) {
         request.isolated_task = task;
     }
+    this->round->set_lacked_room(!request.isolated_task);
     if (!request.isolated_task && this->round->fits_nowhere(request.pool, request.size)) {
         return nullptr;
     }
@@ -279,6 +282,13 @@
         }
         const std::string& id = worker->entry.instance.id;
         const auto claimed = reserved.find(id);
+        teams::resources needed = request.size;
+        if (claimed != reserved.end()) {
+            needed += claimed->second;
+        }
+        if (has_label(worker->entry, request.required_label) && worker->has_room_for(needed)) {
+            this->round->set_lacked_room(false);
+        }
         const auto same_vm = on_vm.find(id);
         const auto same_rack =
             request.spread_racks ? on_rack.find(worker->entry.rack) : on_rack.end();
@@ -472,6 +482,7 @@
         tickets = this->find_tickets(job, task.occurrence, task.step, now);
         if (tickets == nullptr) {
             this->want_tickets(job, task.occurrence, task.step, now);
+            this->note_if_room_lacks(job, size);
             return false;
         }
     }
@@ -480,6 +491,9 @@
     }
     worker_state* worker = this->choose_worker(job, task, {}, {}, now, tickets);
     if (worker == nullptr) {
+        if (this->round->lacked_room()) {
+            this->order.note_no_room();
+        }
         if (tickets != nullptr) {
             this->want_tickets(job, task.occurrence, task.step, now);
         }
@@ -554,6 +568,9 @@
         }
         return true;
     }
+    if (this->round->lacked_room()) { // also across racks, which were tried last
+        this->order.note_no_room();
+    }
     if (tickets != nullptr) {
         this->want_tickets(job, occurrence, step, now);
     }
@@ -586,6 +603,7 @@
     }
     worker.used += size;
     this->team_usage[job.spec.team] += size;
+    this->order.note_start(size);
     this->lane_of(task.job).planned_starts[task.job].emplace_back(task, run);
     this->mark_dirty(job);
 }
--- a/src/scheduling/worker_state.cpp
+++ b/src/scheduling/worker_state.cpp
@@ -75,4 +75,10 @@
     return size;
 }
 
+teams::resources total_of(const teams::resources& size, std::int64_t count)
+{
+    return {size.processors * count, size.memory_mb * count, size.accelerators * count,
+            size.slots * count};
+}
+
 } // namespace chervilslip::scheduling
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -104,6 +104,9 @@
 /// processors. Thread safe.
 teams::resources footprint(const jobs::step& step);
 
+/// Returns what `count` tasks of a size occupy. Thread safe.
+teams::resources total_of(const teams::resources& size, std::int64_t count);
+
 /// Workers by id. Not thread safe.
 using worker_map = std::map<std::string, worker_state>;
 
