Show what teams have of their pools in the metrics

Cause: operators could not see whether a team has its share.

Change: share, usage and time below share by pool and team on the owner; the first 128 pairs have rows, the others are added up.

--- a/src/daemon/fleet_metrics.cpp
+++ b/src/daemon/fleet_metrics.cpp
@@ -1,5 +1,7 @@
 #include "daemon/fleet_metrics.h"
 
+#include <algorithm>
+
 #include <prometheus/gauge.h>
 #include <prometheus/text_serializer.h>
 
@@ -18,8 +20,59 @@
     return static_cast<double>(time.count()) / ms_per_second;
 }
 
+prometheus::MetricFamily make_family(const std::string& name, const std::string& help,
+                                     prometheus::MetricType type)
+{
+    prometheus::MetricFamily family;
+    family.name = name;
+    family.help = help;
+    family.type = type;
+    return family;
+}
+
+prometheus::ClientMetric labelled(const scheduling::team_share& row)
+{
+    prometheus::ClientMetric metric;
+    metric.label = {{"pool", row.pool}, {"team", row.team}};
+    return metric;
+}
+
 } // namespace
 
+std::vector<prometheus::MetricFamily>
+team_share_metrics(const std::vector<scheduling::team_share>& rows)
+{
+    std::vector<scheduling::team_share> shown(
+        rows.begin(),
+        rows.begin() + static_cast<std::ptrdiff_t>(std::min(rows.size(), max_team_rows)));
+    if (rows.size() > max_team_rows) {
+        shown.push_back({"other", "other"});
+        for (std::size_t i = max_team_rows; i < rows.size(); ++i) {
+            shown.back().used += rows[i].used;
+            shown.back().share += rows[i].share;
+            shown.back().below += rows[i].below;
+        }
+    }
+    std::vector<prometheus::MetricFamily> families{
+        make_family("chervilslip_team_share", "Part of a pool that a team's weight entitles it to",
+                    prometheus::MetricType::Gauge),
+        make_family("chervilslip_team_usage", "Part of a pool that a team's runs use",
+                    prometheus::MetricType::Gauge),
+        make_family("chervilslip_team_below_share_seconds_total",
+                    "Time in which a team had waiting work and too little of its share",
+                    prometheus::MetricType::Counter)};
+    for (const scheduling::team_share& row : shown) {
+        prometheus::ClientMetric metric = labelled(row);
+        metric.gauge.value = row.share;
+        families[0].metric.push_back(metric);
+        metric.gauge.value = row.used;
+        families[1].metric.push_back(metric);
+        metric.counter.value = seconds(row.below);
+        families[2].metric.push_back(metric);
+    }
+    return families;
+}
+
 fleet_metrics::fleet_metrics()
     : calls(prometheus::BuildCounter()
                 .Name("chervilslip_calls_total")
@@ -145,7 +198,13 @@
     this->node.Add({{"value", "owner_mean_lag_seconds"}})
         .Set(seconds(current.owner_signals.timer_lag));
     this->set_scheduler_gauges(current.active_scheduler);
-    return prometheus::TextSerializer().Serialize(this->registry.Collect());
+    std::vector<prometheus::MetricFamily> families = this->registry.Collect();
+    if (current.active_scheduler != nullptr) {
+        for (auto& each : team_share_metrics(current.active_scheduler->team_shares())) {
+            families.push_back(std::move(each));
+        }
+    }
+    return prometheus::TextSerializer().Serialize(families);
 }
 
 } // namespace chervilslip::daemon
--- a/src/daemon/fleet_metrics.h
+++ b/src/daemon/fleet_metrics.h
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/histogram.h>
+#include <prometheus/metric_family.h>
 #include <prometheus/registry.h>
 
 #include "admission/admission_controller.h"
@@ -9,6 +10,13 @@
 
 namespace chervilslip::daemon {
 
+/// Returns metrics of what teams have of their pools, by pool and team. Rows beyond the first
+/// `max_team_rows` are added up under "other", to bound the number of series. Thread safe.
+std::vector<prometheus::MetricFamily>
+team_share_metrics(const std::vector<scheduling::team_share>& rows);
+
+inline constexpr std::size_t max_team_rows = 128;
+
 /// Prometheus counters, gauges and latency histograms of an entry node. Not thread safe.
 class fleet_metrics {
 public:
