--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -51,6 +51,8 @@
         return event_id::reservation_used;
     case kind::reservation_given_up:
         return event_id::reservation_given_up;
+    case kind::team_below_share:
+        return event_id::team_below_share;
     }
     return event_id::worker_suspected;
 }
--- a/src/daemon/tests/fleet_metrics_tests.cpp
+++ b/src/daemon/tests/fleet_metrics_tests.cpp
@@ -15,8 +15,6 @@
     return count;
 }
 
-} // namespace
-
 // Guards against a label for every queue, and against rows that stay when the claim is lost.
 Test(fleet_metrics, learned_run_times_are_exported_for_a_bounded_number_of_queues)
 {
@@ -45,3 +43,27 @@
     state.active_scheduler = nullptr;
     cr_assert(count_of(metrics.text(state), "chervilslip_run_time_seconds{") == 0);
 }
+
+Test(fleet_metrics, the_number_of_rows_by_team_is_bounded)
+{
+    // given
+    constexpr std::size_t extra = 3;
+    std::vector<scheduling::team_share> rows;
+    for (std::size_t i = 0; i < daemon::max_team_rows + extra; ++i) {
+        rows.push_back({"main", "t" + std::to_string(i), 0.5, 0.25, common::milliseconds(1000)});
+    }
+
+    // when
+    const auto families = daemon::team_share_metrics(rows);
+
+    // then
+    for (const auto& each : families) {
+        cr_assert(each.metric.size() == daemon::max_team_rows + 1);
+        cr_assert(each.metric.back().label[1].value == "other");
+    }
+    cr_assert(families[0].metric.back().gauge.value == extra * 0.25);
+    cr_assert(families[1].metric.back().gauge.value == extra * 0.5);
+    cr_assert(families[2].metric.back().counter.value == extra);
+}
+
+} // namespace
--- a/src/scheduling/dispatch_round.cpp
+++ b/src/scheduling/dispatch_round.cpp
@@ -87,6 +87,16 @@
                        [&size](const worker_state* each) { return each->has_room_for(size); });
 }
 
+void dispatch_round::set_lacked_room(bool lacked)
+{
+    this->choice_lacked_room = lacked;
+}
+
+bool dispatch_round::lacked_room() const
+{
+    return this->choice_lacked_room;
+}
+
 std::set<std::string> dispatch_round::full_pools() const
 {
     std::set<std::string> full;
--- a/src/scheduling/dispatch_round.h
+++ b/src/scheduling/dispatch_round.h
@@ -30,6 +30,10 @@
     /// slack does not use it, so a size that fits nowhere may fit there.
     [[nodiscard]] bool has_slow_room(const std::string& pool, const teams::resources& size) const;
 
+    /// Records whether the latest choice of a worker failed because none has room.
+    void set_lacked_room(bool lacked);
+    [[nodiscard]] bool lacked_room() const;
+
     /// Returns the pools that have no room for some size.
     [[nodiscard]] std::set<std::string> full_pools() const;
 
@@ -44,6 +48,7 @@
     const pool_index& workers;
     common::steady_time begun_at;
     std::map<std::string, pool_entry> pools;
+    bool choice_lacked_room = false;
 };
 
 } // namespace chervilslip::scheduling
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -171,9 +171,10 @@
         reservation_made,
         reservation_used,
         reservation_given_up,
+        team_below_share,
     };
     kind event{};
-    std::string subject; ///< id of the job, task or worker
+    std::string subject; ///< id of the job, task or worker, or the team
     std::string detail;
 
     friend bool operator==(const decision_record&, const decision_record&) = default;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -67,11 +67,10 @@
     const auto remaining = static_cast<double>(job.paths.remaining.count());
     const double slack = objective - age - remaining;
     // Begun jobs go on as long as they may still be in time, because what has run would be wasted.
-    const bool has_begun = job.history.starts > 0 || job.progress.state == jobs::job_state::running;
     const double margin =
-        has_begun ? -begun_overrun_share * remaining
-                  : estimate_error_share * remaining +
-                        static_cast<double>(job.paths.remaining_steps * step_overhead.count());
+        has_begun(job) ? -begun_overrun_share * remaining
+                       : estimate_error_share * remaining +
+                             static_cast<double>(job.paths.remaining_steps * step_overhead.count());
     if (slack >= margin) {
         return {likely_in_time, queue.priority, slack};
     }
@@ -118,7 +117,7 @@
 void scheduler::dispatch(common::steady_time now, std::int64_t unix_ms)
 {
     this->next_dispatch = now + dispatch_interval;
-    std::vector<std::pair<rank, active_job*>> ranked_jobs;
+    ranked_list ranked_jobs;
     for (auto& [id, job] : this->jobs_by_id) {
         if (jobs::is_final(job.progress.state)) {
             continue;
@@ -143,7 +142,9 @@
     this->round.emplace(*this->workers_by_pool, now);
     this->needed_advice.begin_round();
     this->begin_reservations(now);
-    for (const auto& [ignored, job] : ranked_jobs) {
+    this->begin_order(ranked_jobs, now);
+    while (const auto number = this->order.next()) {
+        active_job* job = ranked_jobs[*number].second;
         for (std::int64_t k = 0; k < job->spec.occurrences(); ++k) {
             if (job->spec.repeats > 0 && job->spec.due_ms(k) + due_margin_ms > unix_ms) {
                 break;
@@ -154,6 +155,7 @@
         }
     }
     this->end_reservations(now);
+    this->end_order();
     this->full_pools = this->round->full_pools();
     this->round.reset();
     this->ask_for_advice(now);
@@ -192,8 +194,10 @@
     if (counts.waiting == 0 || !this->is_step_ready(job, occurrence, step)) {
         return;
     }
+    const teams::resources size = footprint(job.spec.steps[step]);
     if (job.spec.steps[step].gang) {
-        if (counts.open == 0) {
+        if (counts.open == 0 &&
+            !this->order.must_yield(total_of(size, job.spec.steps[step].count))) {
             this->place_gang(job, occurrence, step, now);
         }
         return;
@@ -203,6 +207,9 @@
         if (tasks[i].state != task_progress::phase::waiting) {
             continue;
         }
+        if (this->order.must_yield(size)) {
+            return;
+        }
         const jobs::task_id task{job.spec.id, occurrence, step, static_cast<std::int64_t>(i)};
         // A retried or suspected task has more constraints, so the others may still fit.
         if (!this->place_task(job, task, now) && tasks[i].failures == 0 &&
@@ -252,6 +259,7 @@
     if (this->holds.contains(task)) {
         request.isolated_task = task;
     }
+    this->round->set_lacked_room(!request.isolated_task);
     if (!request.isolated_task && this->round->fits_nowhere(request.pool, request.size) &&
         (!this->round->has_slow_room(request.pool, request.size) || this->has_little_slack(task))) {
         return nullptr;
@@ -295,6 +303,11 @@
             is_withheld = true;
             continue;
         }
+        teams::resources needed = request.size;
+        needed += claimed_size;
+        if (has_label(worker->entry, request.required_label) && worker->has_room_for(needed)) {
+            this->round->set_lacked_room(false);
+        }
         const auto same_vm = on_vm.find(id);
         const auto same_rack =
             request.spread_racks ? on_rack.find(worker->entry.rack) : on_rack.end();
@@ -499,6 +512,7 @@
         if (tickets == nullptr) {
             this->want_tickets(job, task.occurrence, task.step, now);
             this->note_blocked(job, task);
+            this->note_if_room_lacks(job, size);
             return false;
         }
     }
@@ -507,6 +521,9 @@
     }
     worker_state* worker = this->choose_worker(job, task, {}, {}, now, tickets);
     if (worker == nullptr) {
+        if (this->round->lacked_room()) {
+            this->order.note_no_room();
+        }
         if (tickets != nullptr) {
             this->want_tickets(job, task.occurrence, task.step, now);
         }
@@ -583,6 +600,9 @@
         }
         return true;
     }
+    if (this->round->lacked_room()) { // also across racks, which were tried last
+        this->order.note_no_room();
+    }
     if (tickets != nullptr) {
         this->want_tickets(job, occurrence, step, now);
     }
@@ -620,6 +640,7 @@
     }
     worker.used += size;
     this->team_usage[job.spec.team] += size;
+    this->order.note_start(size);
     this->lane_of(task.job).planned_starts[task.job].emplace_back(task, run);
     this->mark_dirty(job);
 }
