--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -25,7 +25,7 @@
 
 /// Bounds a response's header, and the chunk extensions and trailer section that the parser can't
 /// use until they are complete. Its own header limit holds for neither, and not for a header of
-/// which each read ends with a field.
+/// which each read ends shortly after the beginning of a field.
 constexpr std::size_t max_header_bytes = std::size_t{64} * 1024;
 
 /// Idle connections that their peers have closed are closed at this interval, and those that have
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -66,6 +66,8 @@
     if (!this->budget.is_exceeded() || std::exchange(this->is_shedding, true)) {
         return;
     }
+    const std::unique_ptr<bool, void (*)(bool*)> end_of_shedding(&this->is_shedding,
+                                                                 [](bool* flag) { *flag = false; });
     std::vector<std::shared_ptr<http_session>> chosen;
     for (const memory_budget::account_id account : this->budget.choose_to_shed(now)) {
         chosen.push_back(this->by_account[account]->shared_from_this());
@@ -73,7 +75,6 @@
     for (const auto& each : chosen) {
         each->shed();
     }
-    this->is_shedding = false;
 }
 
 void http_listener::end_late(common::steady_time now)
