Evacuate availability zones, and limit the work of cold workers

Cause: operators could not empty a zone; workers that had just started got as much new work as warm ones.

Change: keys below op/evacuate/ are followed on every entry node and passed as a whole set to the owner's scheduler and fleet controller. Workers of such a zone get no start, planned starts are withdrawn, long-running tasks are moved within their disruption budgets, and the zone's VMs are no supply of their pools and are not moved. Where the settings have evacuateMs, nothing starts while the operators' keys are not confirmed for that time less the start time-out. Where they have coldOver, cold workers come last in placement and have a credit of starts. Moving long-running tasks now counts the tasks of a step once a pass, not once for each of its tasks.

--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -66,6 +66,10 @@
     vm_ordered = 5401,
     vm_order_failed = 5402,
     wave_progress = 5403,
+    evacuation_begun = 5501,
+    evacuation_done = 5502,
+    evacuation_ended = 5503,
+    evacuation_unknown = 5504,
     configuration_in_force = 2101,
     configuration_unreadable = 2102,
     bad_request = 6001,
@@ -82,7 +86,7 @@
     severity level;
 };
 
-inline constexpr std::array<event_entry, 60> event_catalogue{{
+inline constexpr std::array<event_entry, 64> event_catalogue{{
     {event_id::node_started, "node_started", severity::info},
     {event_id::node_ready, "node_ready", severity::info},
     {event_id::node_stopping, "node_stopping", severity::info},
@@ -138,6 +142,10 @@
     {event_id::vm_ordered, "vm_ordered", severity::info},
     {event_id::vm_order_failed, "vm_order_failed", severity::warning},
     {event_id::wave_progress, "wave_progress", severity::info},
+    {event_id::evacuation_begun, "evacuation_begun", severity::info},
+    {event_id::evacuation_done, "evacuation_done", severity::info},
+    {event_id::evacuation_ended, "evacuation_ended", severity::info},
+    {event_id::evacuation_unknown, "evacuation_unknown", severity::warning},
     {event_id::bad_request, "bad_request", severity::info},
     {event_id::connection_refused, "connection_refused", severity::warning},
     {event_id::peer_refused, "peer_refused", severity::warning},
--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -320,8 +320,10 @@
             this->execute(step, now);
         }
     }
-    this->repeat_unanswered_moves(now);
-    this->plan_pools(now);
+    if (this->dependencies.scheduler.may_order_moves(now)) {
+        this->repeat_unanswered_moves(now);
+        this->plan_pools(now);
+    }
 }
 
 std::map<std::string, fleet::pool_vm> fleet_controller::pool_view() const
@@ -331,7 +333,8 @@
         fleet::pool_vm& vm_info = known[vm.name];
         vm_info.pool = vm.pool;
         vm_info.processors = vm.processors;
-        vm_info.reserved = this->planner.is_draining_or_down(vm.name);
+        vm_info.reserved =
+            this->planner.is_draining_or_down(vm.name) || this->zones_to_evacuate.contains(vm.zone);
         const bool on_standby = this->configuration->standby_pools.contains(vm.pool);
         vm_info.up = vm.state == fleet::vm_state::up && on_standby;
     }
@@ -344,7 +347,8 @@
         vm_info.pool = worker.entry.pool;
         vm_info.up = worker.token_seen && worker.missed_polls == 0;
         const bool is_withheld = worker.cordoned && !this->pools.is_moving(worker.entry.vm);
-        vm_info.reserved = vm_info.reserved || worker.entry.draining || is_withheld;
+        vm_info.reserved =
+            vm_info.reserved || worker.entry.draining || worker.evacuated || is_withheld;
         vm_info.idle = worker.runs.empty();
         vm_info.idle_since = worker.idle_since;
     }
@@ -447,7 +451,8 @@
         if (worker == cordoned_worker::none) {
             continue; // the worker that it was for is gone
         }
-        if (worker == cordoned_worker::unlisted || this->planner.is_draining_or_down(move.vm)) {
+        if (worker == cordoned_worker::unlisted || this->planner.is_draining_or_down(move.vm) ||
+            this->is_evacuated(move.vm)) {
             this->unanswered_moves.push_back(move);
         } else {
             this->send_move(move, true);
@@ -480,6 +485,7 @@
             }
             this->vms = std::move(listed.value());
             this->vm_list_requested_at = now;
+            this->report_vm_zones();
         });
 }
 
--- a/src/daemon/fleet_controller.h
+++ b/src/daemon/fleet_controller.h
@@ -61,6 +61,9 @@
     void configure(std::shared_ptr<const fleet_configuration> newer);
     void set_waves(const std::vector<maintenance::wave_request>& requested);
 
+    /// Sets the zones whose VMs are no supply of their pools and are not moved.
+    void set_evacuated_zones(scheduling::evacuated_zones zones);
+
     /// Stops sending orders, and calls `closed` once none is pending and the store records this.
     /// The next holder may then start immediately, unless an order got no response.
     void close(std::function<void()> closed);
@@ -96,6 +99,8 @@
     void repeat_unanswered_moves(common::steady_time now);
     [[nodiscard]] cordoned_worker find_cordoned_worker(const std::string& vm) const;
     [[nodiscard]] bool has_unanswered_move(const std::string& vm) const;
+    [[nodiscard]] bool is_evacuated(const std::string& vm) const;
+    void report_vm_zones();
     void evacuate_vm(const std::string& vm, common::steady_time now);
     void cordon_vm(const std::string& vm, bool cordoned);
     [[nodiscard]] std::map<std::string, fleet::pool_vm> pool_view() const;
@@ -119,6 +124,7 @@
     std::shared_ptr<const fleet_configuration> configuration;
     maintenance::wave_planner planner;
     std::vector<maintenance::wave_request> waves;
+    scheduling::evacuated_zones zones_to_evacuate;
     bool progress_restored = false; ///< the progress made under earlier holders has been read
     fleet::pool_planner pools;
     /// Moves that may or may not have been carried out.
--- a/src/daemon/fleet_metrics.cpp
+++ b/src/daemon/fleet_metrics.cpp
@@ -109,23 +109,34 @@
         {"ends_done", counts.ends_done},
         {"ends_failed", counts.ends_failed},
         {"ends_other", counts.ends_other},
-        {"runs_lost", counts.runs_lost}};
+        {"runs_lost", counts.runs_lost},
+        {"evacuations_of_unknown_zones", counts.evacuations_of_unknown_zones}};
     for (const auto& [name, count] : rows) {
         this->decisions.Add({{"count", name}}).Set(static_cast<double>(count));
     }
     std::int64_t listed = 0;
     std::int64_t unresponsive = 0;
     std::int64_t runs = 0;
+    std::int64_t evacuated = 0;
+    std::int64_t evacuated_runs = 0;
+    std::int64_t cold = 0;
     if (active_scheduler != nullptr) {
         for (const auto& [id, worker] : active_scheduler->all_workers()) {
             listed += worker.listed ? 1 : 0;
             unresponsive += worker.missed_polls > 0 ? 1 : 0;
             runs += static_cast<std::int64_t>(worker.runs.size());
+            evacuated += worker.listed && worker.evacuated ? 1 : 0;
+            evacuated_runs +=
+                worker.evacuated ? static_cast<std::int64_t>(worker.runs.size()) : std::int64_t{0};
+            cold += worker.listed && worker.cold_credit ? 1 : 0;
         }
     }
     this->workers.Add({{"state", "listed"}}).Set(static_cast<double>(listed));
     this->workers.Add({{"state", "silent"}}).Set(static_cast<double>(unresponsive));
     this->workers.Add({{"state", "runs"}}).Set(static_cast<double>(runs));
+    this->workers.Add({{"state", "evacuated"}}).Set(static_cast<double>(evacuated));
+    this->workers.Add({{"state", "evacuated_runs"}}).Set(static_cast<double>(evacuated_runs));
+    this->workers.Add({{"state", "cold"}}).Set(static_cast<double>(cold));
 }
 
 std::string fleet_metrics::text(const state& current)
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -181,6 +181,16 @@
     this->owner_host.set_waves(std::move(waves));
 }
 
+void fleet_node::see_evacuated_zones(scheduling::evacuated_zones zones)
+{
+    this->owner_host.set_evacuated_zones(std::move(zones));
+}
+
+void fleet_node::confirm_operator_keys(common::steady_time as_of)
+{
+    this->owner_host.confirm_operator_keys(as_of);
+}
+
 void fleet_node::note_store_contact()
 {
     this->store_contacted = true;
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -61,6 +61,10 @@
     /// Applies a configuration if it is newer than the current one.
     void configure(fleet_configuration newer);
     void see_waves(std::vector<maintenance::wave_request> waves);
+    void see_evacuated_zones(scheduling::evacuated_zones zones);
+
+    /// Records that the operators' keys as of `as_of` have been passed on.
+    void confirm_operator_keys(common::steady_time as_of);
 
     /// Records that the store has responded, directly or via a peer.
     void note_store_contact();
--- a/src/daemon/scheduler_host.cpp
+++ b/src/daemon/scheduler_host.cpp
@@ -113,6 +113,24 @@
     }
 }
 
+void scheduler_host::set_evacuated_zones(scheduling::evacuated_zones zones)
+{
+    this->zones_to_evacuate = std::move(zones);
+    if (this->scheduler) {
+        this->controller->set_evacuated_zones(this->zones_to_evacuate);
+        this->scheduler->set_evacuated_zones(this->zones_to_evacuate, this->now());
+        this->execute_actions();
+    }
+}
+
+void scheduler_host::confirm_operator_keys(common::steady_time as_of)
+{
+    this->operator_keys_as_of = std::max(this->operator_keys_as_of.value_or(as_of), as_of);
+    if (this->scheduler) {
+        this->scheduler->confirm_operator_keys(as_of);
+    }
+}
+
 void scheduler_host::resign()
 {
     this->resigning = true;
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -63,6 +63,12 @@
     /// Sets the maintenance waves that operators have requested.
     void set_waves(std::vector<maintenance::wave_request> waves);
 
+    /// Sets the zones that operators want evacuated.
+    void set_evacuated_zones(scheduling::evacuated_zones zones);
+
+    /// Records that the operators' keys as of `as_of` have been passed on.
+    void confirm_operator_keys(common::steady_time as_of);
+
     /// Gives up the claim, if this node holds it, because its state may be inconsistent. The node
     /// competes for the claim again.
     void abandon(const std::string& cause);
@@ -177,6 +183,8 @@
     std::function<void(const ownership::claim_record&)> owner_callback;
     std::shared_ptr<const fleet_configuration> configuration;
     std::vector<maintenance::wave_request> waves;
+    scheduling::evacuated_zones zones_to_evacuate;
+    std::optional<common::steady_time> operator_keys_as_of; ///< unset: not read yet
     std::vector<scheduling::worker_entry> worker_entries;
     bool worker_entries_read = false;
 
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -41,6 +41,14 @@
         return event_id::worker_suspected;
     case kind::worker_trusted:
         return event_id::worker_trusted;
+    case kind::evacuation_begun:
+        return event_id::evacuation_begun;
+    case kind::evacuation_done:
+        return event_id::evacuation_done;
+    case kind::evacuation_ended:
+        return event_id::evacuation_ended;
+    case kind::evacuation_unknown:
+        return event_id::evacuation_unknown;
     }
     return event_id::worker_suspected;
 }
--- a/src/daemon/scheduler_host_takeover.cpp
+++ b/src/daemon/scheduler_host_takeover.cpp
@@ -195,6 +195,10 @@
     this->scheduler->extend_authority(this->ownership_claim.authority_until());
     this->scheduler->restore(std::move(stored), this->claimed_at);
     this->scheduler->ignore_notifications_until(read->input_revision);
+    this->scheduler->set_evacuated_zones(this->zones_to_evacuate, this->now());
+    if (this->operator_keys_as_of) {
+        this->scheduler->confirm_operator_keys(*this->operator_keys_as_of);
+    }
     this->scheduler->update_workers(this->worker_entries, this->now());
     this->controller = std::make_unique<fleet_controller>(
         fleet_controller_dependencies{
@@ -204,6 +208,7 @@
         this->self, this->token, this->claimed_at);
     this->controller->configure(this->configuration);
     this->controller->set_waves(this->waves);
+    this->controller->set_evacuated_zones(this->zones_to_evacuate);
     this->scheduler->tick(this->now(), this->unix_ms());
     this->execute_actions();
 }
--- a/src/daemon/tests/fleet_controller_tests.cpp
+++ b/src/daemon/tests/fleet_controller_tests.cpp
@@ -337,3 +337,47 @@
     cr_assert(fleet.machines.has_moved("vm-w1", "parked"));
     cr_assert(fleet.close());
 }
+
+// Guards against moves of VMs in a zone under evacuation, also such as were ordered before.
+Test(fleet_controller, no_vm_of_an_evacuated_zone_is_moved)
+{
+    for (const bool ordered_before : {false, true}) {
+        // given
+        controlled_fleet fleet;
+        fleet.machines.vms[0].zone = "a";
+        fleet.run_until(ordered_before ? 2000 : 0);
+        const auto orders = fleet.machines.moves.size();
+        cr_assert(ordered_before == (orders > 0));
+
+        // when
+        fleet.controller->set_evacuated_zones({{"a"}});
+        fleet.run_until(5000);
+
+        // then
+        cr_assert(fleet.machines.moves.size() == orders);
+        fleet.controller->set_evacuated_zones({});
+        fleet.run_until(7000);
+        cr_assert(fleet.machines.moves.size() > orders);
+    }
+}
+
+// Guards against capacity that is not raised elsewhere because the zone's VMs count as supply, and
+// against VMs of the zone that are chosen for it.
+Test(fleet_controller, capacity_outside_an_evacuated_zone_is_raised)
+{
+    for (const std::string spare_zone : {"a", "b"}) {
+        // given: a VM with room for the job in zone "a", and a parked one
+        controlled_fleet fleet;
+        fleet.machines.outcome = vm_order_outcome::accepted;
+        fleet.machines.vms[0].zone = "a";
+        fleet.machines.vms[1].zone = spare_zone;
+        fleet.controller->set_evacuated_zones({{"a"}});
+
+        // when
+        fleet.fixture.submit_job(make_job("j1"));
+        fleet.run_until(400);
+
+        // then
+        cr_assert(fleet.machines.has_moved("vm-spare", "main") == (spare_zone == "b"));
+    }
+}
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -33,10 +33,20 @@
     std::string rack;
     teams::resources capacity;
     bool draining = false; ///< is shutting down; accepts no new tasks
+    /// The worker is slow until then, because it has just started.
+    common::steady_time cold_until;
 
     friend bool operator==(const worker_entry&, const worker_entry&) = default;
 };
 
+/// How much new work a worker may get while it is cold: slow because it has just started.
+struct cold_limits {
+    double over = 1.5;  ///< multiple of its proportion of its pool's starts
+    double slack = 5.0; ///< starts beside that
+
+    friend bool operator==(const cold_limits&, const cold_limits&) = default;
+};
+
 /// A team's share and quota.
 struct team_policy {
     double weight = 1.0;
@@ -69,6 +79,10 @@
     /// Nothing is started while the latest confirmed input, cancellations included, is older than
     /// this; unset: not checked.
     std::optional<common::milliseconds> max_input_age;
+    /// The same for the operators' keys, requests to evacuate zones included; unset: not checked.
+    std::optional<common::milliseconds> max_operator_key_age;
+    /// Limits on the work of workers that have just started; unset: they are treated as others.
+    std::optional<cold_limits> cold;
 
     friend bool operator==(const scheduler_options&, const scheduler_options&) = default;
 };
@@ -163,6 +177,10 @@
         worker_lost,
         worker_suspected,
         worker_trusted,
+        evacuation_begun,
+        evacuation_done,
+        evacuation_ended,
+        evacuation_unknown,
     };
     kind event{};
     std::string subject; ///< id of the job, task or worker
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/placement.h"
 
+#include "scheduling/cold_workers.h"
+
 namespace chervilslip::scheduling {
 
 namespace {
@@ -8,6 +10,11 @@
 constexpr double shared_rack_cost = 10.0;
 constexpr double unproven_cost = 5.0;
 
+/// A cold worker comes after all warm ones with room. Work with little slack takes a worker far
+/// from its data before a cold one.
+constexpr double cold_cost = 2.0;
+constexpr double cold_cost_with_little_slack = 150.0;
+
 /// Suspects are kept apart from each other, so that a crash is attributed to one of them, and from
 /// other runs, which a crash would end.
 constexpr double shared_suspect_cost = 1000.0;
@@ -30,7 +37,7 @@
 bool is_usable(const worker_state& worker, common::steady_time now)
 {
     return worker.listed && worker.token_seen && !worker.entry.draining && !worker.cordoned &&
-           worker.missed_polls == 0 && now >= worker.blocked_until;
+           !worker.evacuated && worker.missed_polls == 0 && now >= worker.blocked_until;
 }
 
 bool has_label(const worker_entry& worker, const std::string& label)
@@ -60,6 +67,9 @@
     if (request.max_per_vm > 0 && neighbours.on_vm >= request.max_per_vm) {
         return std::nullopt;
     }
+    if (worker.cold_credit && !cold_workers::allows(worker, request.size, reserved)) {
+        return std::nullopt;
+    }
     if (request.tickets != nullptr && !request.tickets->contains(entry.instance.id)) {
         return std::nullopt;
     }
@@ -85,6 +95,9 @@
     }
     cost += unproven_cost * static_cast<double>(worker.consecutive_failures);
     cost += shared_suspect_cost * static_cast<double>(worker.suspects.size());
+    if (worker.cold_credit) {
+        cost += request.little_slack ? cold_cost_with_little_slack : cold_cost;
+    }
     if (request.suspect) {
         cost += endangered_run_cost * static_cast<double>(worker.runs.size());
     }
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -17,6 +17,7 @@
     bool spread_racks = false;   ///< prefers different racks for the tasks of a step
     bool retried = false;        ///< a run has failed: avoids workers without a recent success
     bool suspect = false;        ///< its worker has crashed: prefers workers with little work
+    bool little_slack = false;   ///< would be late on a slow worker: avoids cold ones
     /// Set if the task runs only on the worker that is held for it.
     std::optional<jobs::task_id> isolated_task;
     const std::map<std::string, std::string>* tickets = nullptr; ///< allowed workers; null: all
@@ -33,7 +34,7 @@
 };
 
 /// Returns whether a worker may get new tasks: registered, responding, neither draining nor
-/// cordoned and not blocked after a rejected start. Thread safe.
+/// cordoned nor in a zone under evacuation, and not blocked after a rejected start. Thread safe.
 bool is_usable(const worker_state& worker, common::steady_time now);
 
 /// Returns whether a worker has a label that a step requires; an empty one requires nothing. Thread
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -75,7 +75,8 @@
 }
 
 scheduler::scheduler(scheduler_options initial_options)
-    : options(initial_options), lanes(std::max<std::size_t>(initial_options.journal_lanes, 1))
+    : options(initial_options), lanes(std::max<std::size_t>(initial_options.journal_lanes, 1)),
+      cold(initial_options.cold), evacuation(initial_options.max_operator_key_age)
 {
 }
 
@@ -147,7 +148,8 @@
 bool scheduler::may_start(common::steady_time now) const
 {
     const auto& limit = this->options.max_input_age;
-    return now < this->authority_until && (!limit || now < this->input_confirmed_at + *limit);
+    return now < this->authority_until && (!limit || now < this->input_confirmed_at + *limit) &&
+           this->evacuation.is_confirmed(now);
 }
 
 void scheduler::tick(common::steady_time now, std::int64_t unix_ms)
@@ -155,6 +157,7 @@
     this->last_now = now;
     this->last_unix_ms = unix_ms;
     this->poll_due_workers(now);
+    this->continue_evacuation(now);
     this->dispatch_if_due(now, this->earliest_dispatch);
     this->flush_journal(now);
 }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -7,12 +7,14 @@
 #include "fleet/pool_planner.h"
 #include "scheduling/advice_backlog.h"
 #include "scheduling/best_effort_throttle.h"
+#include "scheduling/cold_workers.h"
 #include "scheduling/crash_ledger.h"
 #include "scheduling/dispatch_round.h"
 #include "scheduling/duration_estimator.h"
 #include "scheduling/journal_lane.h"
 #include "scheduling/progress.h"
 #include "scheduling/worker_state.h"
+#include "scheduling/zone_evacuation.h"
 
 namespace chervilslip::scheduling {
 
@@ -38,6 +40,7 @@
     std::uint64_t ends_failed = 0;
     std::uint64_t ends_other = 0;
     std::uint64_t runs_lost = 0;
+    std::uint64_t evacuations_of_unknown_zones = 0;
     std::uint64_t dispatch_rounds = 0;
     std::uint64_t jobs_ranked = 0; ///< in all rounds together
 
@@ -72,6 +75,21 @@
     /// Records that all jobs and cancellations stored before `as_of` have been passed on.
     void confirm_input(common::steady_time as_of);
 
+    /// Replaces the zones under evacuation: their workers get nothing new, starts that are planned
+    /// there are withdrawn, and each tick moves long-running tasks as their disruption budgets
+    /// allow.
+    void set_evacuated_zones(const evacuated_zones& zones, common::steady_time now);
+
+    /// Sets the zones of all VMs, beside those of the workers.
+    void set_vm_zones(std::set<std::string> zones);
+
+    /// Records that the operators' keys as of `as_of`, requests to evacuate zones included, have
+    /// been passed on.
+    void confirm_operator_keys(common::steady_time as_of);
+
+    /// Returns whether the requests to evacuate zones are recent enough for orders to move VMs.
+    [[nodiscard]] bool may_order_moves(common::steady_time now) const;
+
     /// Adds a durable job. Has no effect if the job is known already.
     void submit_job(const jobs::job& accepted, common::steady_time now);
 
@@ -213,6 +231,7 @@
     struct active_job {
         jobs::job spec;
         job_history history;
+        bool has_little_slack = false; ///< would be late if its tasks took twice as long
         /// Cached, because each round of dispatch ranks all waiting jobs.
         struct critical_paths {
             common::milliseconds total{0};
@@ -319,6 +338,13 @@
     void release_hold(const jobs::task_id& task);
     void release_expired_holds(common::steady_time now);
 
+    // scheduler_evacuation.cpp: long-running tasks that are moved, zones under evacuation
+    void stop_lasting_runs(const worker_state& worker, std::set<step_id>& exhausted,
+                           common::steady_time now);
+    void withdraw_planned_starts(const worker_state& worker, common::steady_time now);
+    void continue_evacuation(common::steady_time now);
+    void record_evacuation(const evacuation_change& change);
+
     // scheduler_dispatch.cpp: dispatch and placement
     void dispatch_if_due(common::steady_time now, common::steady_time earliest);
     void dispatch(common::steady_time now, std::int64_t unix_ms);
@@ -381,6 +407,9 @@
     std::map<jobs::task_id, open_run> open_runs;
     std::map<std::string, teams::resources> team_usage;
     std::vector<journal_lane> lanes;
+    cold_workers cold;
+    zone_evacuation evacuation;
+    common::steady_time next_evacuation;
     std::uint64_t next_batch = 1;
     common::steady_time authority_until;
     common::steady_time input_confirmed_at;
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -70,6 +70,7 @@
     const auto age = static_cast<double>(unix_ms - job.spec.due_ms(job.paths.occurrence));
     const auto remaining = static_cast<double>(job.paths.remaining.count());
     const double slack = objective - age - remaining;
+    job.has_little_slack = slack < remaining;
     // Begun jobs go on as long as they may still be in time, because what has run would be wasted.
     const bool has_begun = job.history.starts > 0 || job.progress.state == jobs::job_state::running;
     const double margin =
@@ -143,6 +144,7 @@
     ++this->totals.dispatch_rounds;
     this->totals.jobs_ranked += ranked_jobs.size();
     this->index_pools();
+    this->cold.begin_round(this->workers, now);
     this->round.emplace(*this->workers_by_pool, now);
     this->needed_advice.begin_round();
     for (const auto& [ignored, job] : ranked_jobs) {
@@ -250,6 +252,7 @@
     request.retried = progress.failures > 0 && !step.long_running;
     request.tickets = tickets == nullptr ? nullptr : &tickets->tickets;
     request.suspect = this->suspicion_of(job, task) > 0;
+    request.little_slack = job.has_little_slack;
     if (this->holds.contains(task)) {
         request.isolated_task = task;
     }
@@ -585,6 +588,7 @@
         worker.suspects.insert(task);
     }
     worker.used += size;
+    cold_workers::handle_planned_start(worker);
     this->team_usage[job.spec.team] += size;
     this->lane_of(task.job).planned_starts[task.job].emplace_back(task, run);
     this->mark_dirty(job);
@@ -620,6 +624,7 @@
     run.phase = run_phase::sent;
     run.start_deadline_ms = command.deadline_ms;
     run.sent_at = now;
+    this->cold.handle_sent_start(worker->entry.pool);
     ++this->totals.starts;
     ++job.history.starts;
     job.history.started_ms = job.history.started_ms.value_or(this->last_unix_ms);
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -136,6 +136,7 @@
     }
     const bool began_draining = entry.draining && !known.entry.draining;
     known.entry = entry;
+    known.evacuated = this->evacuation.is_evacuated(entry.zone);
     known.listed = true;
     known.listing = this->last_listing;
     if (began_draining) {
@@ -625,31 +626,6 @@
     }
 }
 
-void scheduler::evacuate(const std::string& worker, common::steady_time now)
-{
-    const auto found = this->workers.find(worker);
-    if (found == this->workers.end()) {
-        return;
-    }
-    // Disruption budgets do not apply to a draining worker, which would end the tasks anyway.
-    if (!found->second.entry.draining && now < this->earlier_stops_until) {
-        return;
-    }
-    const std::set<jobs::task_id> runs = found->second.runs;
-    for (const jobs::task_id& task : runs) {
-        const auto run = this->open_runs.find(task);
-        const active_job& job = this->jobs_by_id.at(task.job);
-        const jobs::step& step = job.spec.steps.at(task.step);
-        if (!step.long_running || run->second.phase != run_phase::running) {
-            continue;
-        }
-        if (!found->second.entry.draining && !this->is_within_disruption_budget(job, task)) {
-            continue;
-        }
-        this->request_stop(task, run->second, now);
-    }
-}
-
 std::int64_t scheduler::lasting_runs(const std::string& worker) const
 {
     const auto found = this->workers.find(worker);
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -30,6 +30,7 @@
     std::uint64_t listing = 0; ///< the latest listing that contained it
     bool token_seen = false;   ///< has answered a poll with this owner's token
     bool cordoned = false;     ///< gets no new tasks; its VM is about to be moved or serviced
+    bool evacuated = false;    ///< gets no new tasks; its zone is under evacuation
 
     bool poll_in_flight = false;
     common::steady_time poll_sent_at;
@@ -66,6 +67,9 @@
     common::steady_time last_success;
     common::steady_time last_failure;
     common::steady_time blocked_until; ///< gets no new tasks before this time
+    /// Starts that the worker may still get while it is cold; unset: it is warm. Updated by each
+    /// round of dispatch.
+    std::optional<double> cold_credit;
     common::steady_time idle_since;
 
     /// Returns the lowest value that the worker's clock may have at `now`; 0 before any response.
