Merge the evacuation of zones, and cold workers

A team that has its share of a short pool reserves no room while others wait, as docs/design/contended-fleet.md asks.

--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -33,10 +33,20 @@
     std::string rack;
     teams::resources capacity;
     bool draining = false; ///< is shutting down; accepts no new tasks
+    /// The worker is slow until then, because it has just started.
+    common::steady_time cold_until;
 
     friend bool operator==(const worker_entry&, const worker_entry&) = default;
 };
 
+/// How much new work a worker may get while it is cold: slow because it has just started.
+struct cold_limits {
+    double over = 1.5;  ///< multiple of its proportion of its pool's starts
+    double slack = 5.0; ///< starts beside that
+
+    friend bool operator==(const cold_limits&, const cold_limits&) = default;
+};
+
 /// A team's share and quota.
 struct team_policy {
     double weight = 1.0;
@@ -72,6 +82,10 @@
     std::optional<common::milliseconds> max_input_age;
     /// How much longer a task runs outside its preferred rack; 1: not known.
     double far_run_factor = 1.0;
+    /// The same for the operators' keys, requests to evacuate zones included; unset: not checked.
+    std::optional<common::milliseconds> max_operator_key_age;
+    /// Limits on the work of workers that have just started; unset: they are treated as others.
+    std::optional<cold_limits> cold;
 
     friend bool operator==(const scheduler_options&, const scheduler_options&) = default;
 };
@@ -172,6 +186,10 @@
         reservation_used,
         reservation_given_up,
         team_below_share,
+        evacuation_begun,
+        evacuation_done,
+        evacuation_ended,
+        evacuation_unknown,
     };
     kind event{};
     std::string subject; ///< id of the job, task or worker, or the team
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -66,6 +66,7 @@
     const auto age = static_cast<double>(unix_ms - job.spec.due_ms(job.paths.occurrence));
     const auto remaining = static_cast<double>(job.paths.remaining.count());
     const double slack = objective - age - remaining;
+    job.has_little_slack = slack < remaining;
     // Begun jobs go on as long as they may still be in time, because what has run would be wasted.
     const double margin =
         has_begun(job) ? -begun_overrun_share * remaining
@@ -139,6 +140,7 @@
     this->totals.jobs_ranked += ranked_jobs.size();
     this->index_pools();
     this->review_speeds(now);
+    this->cold.begin_round(this->workers, now);
     this->round.emplace(*this->workers_by_pool, now);
     this->needed_advice.begin_round();
     this->begin_reservations(now);
@@ -256,6 +258,7 @@
     request.retried = progress.failures > 0 && !step.long_running;
     request.tickets = tickets == nullptr ? nullptr : &tickets->tickets;
     request.suspect = this->suspicion_of(job, task) > 0;
+    request.little_slack = job.has_little_slack;
     if (this->holds.contains(task)) {
         request.isolated_task = task;
     }
@@ -639,6 +642,7 @@
         worker.suspects.insert(task);
     }
     worker.used += size;
+    cold_workers::handle_planned_start(worker);
     this->team_usage[job.spec.team] += size;
     this->order.note_start(size);
     this->lane_of(task.job).planned_starts[task.job].emplace_back(task, run);
@@ -675,6 +679,7 @@
     run.phase = run_phase::sent;
     run.start_deadline_ms = command.deadline_ms;
     run.sent_at = now;
+    this->cold.handle_sent_start(worker->entry.pool);
     ++this->totals.starts;
     ++job.history.starts;
     job.history.started_ms = job.history.started_ms.value_or(this->last_unix_ms);
--- a/src/scheduling/scheduler_reservations.cpp
+++ b/src/scheduling/scheduler_reservations.cpp
@@ -141,6 +141,9 @@
     if (!this->options.reserves_room || this->suspicion_of(job, task) > 0) {
         return; // a worker is held for a suspect, or it waits until others have been cleared
     }
+    if (this->order.is_over_share(this->policy_of(job).pool, job.spec.team)) {
+        return; // room is kept for no team that has its share while others wait for theirs
+    }
     blocked_step blocked;
     blocked.step = {task.job, task.occurrence, task.step};
     blocked.pool = this->policy_of(job).pool;
