--- a/src/scheduling/tests/backfill_tests.cpp
+++ b/src/scheduling/tests/backfill_tests.cpp
@@ -251,6 +251,7 @@
     pool.streams = false;
     pool.run_until(50);
     jobs::job lasting = make_large_job("a", 1);
+    lasting.team = "fire"; // the reserving team has less than its share
     lasting.steps[0].estimate = milliseconds(500);
     lasting.steps[0].task_resources.processors = 6000;
     pool.submit(lasting, 60'000);
