--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -394,6 +394,23 @@
     void continue_evacuation(common::steady_time now);
     void record_evacuation(const evacuation_change& change);
 
+    // scheduler_rank.cpp: ranks of jobs
+    [[nodiscard]] rank rank_of(active_job& job, std::int64_t unix_ms) const;
+
+    // scheduler_advice.cpp: tickets of the advice service
+    const ticket_cache* find_tickets(active_job& job, std::int64_t occurrence,
+                                     jobs::step_index step, common::steady_time now);
+    [[nodiscard]] static const std::string*
+    find_ticket(const active_job& job, const jobs::task_id& task, const worker_instance& worker);
+    void want_tickets(active_job& job, std::int64_t occurrence, jobs::step_index step,
+                      common::steady_time now);
+    [[nodiscard]] static bool is_worth_asking_for(const worker_state& worker,
+                                                  const jobs::step& step,
+                                                  const ticket_cache& known);
+    [[nodiscard]] std::vector<worker_instance>
+    choose_advised_workers(const active_job& job, const step_id& step, common::steady_time now);
+    void ask_for_advice(common::steady_time now);
+
     // scheduler_dispatch.cpp: dispatch and placement
     void dispatch_if_due(common::steady_time now, common::steady_time earliest);
     void dispatch(common::steady_time now, std::int64_t unix_ms);
@@ -416,19 +433,6 @@
     void plan_run(active_job& job, const jobs::task_id& task, std::int64_t run,
                   worker_state& worker, common::steady_time now);
     void send_start(const jobs::task_id& task, open_run& run, common::steady_time now);
-    const ticket_cache* find_tickets(active_job& job, std::int64_t occurrence,
-                                     jobs::step_index step, common::steady_time now);
-    [[nodiscard]] static const std::string*
-    find_ticket(const active_job& job, const jobs::task_id& task, const worker_instance& worker);
-    void want_tickets(active_job& job, std::int64_t occurrence, jobs::step_index step,
-                      common::steady_time now);
-    [[nodiscard]] static bool is_worth_asking_for(const worker_state& worker,
-                                                  const jobs::step& step,
-                                                  const ticket_cache& known);
-    [[nodiscard]] std::vector<worker_instance>
-    choose_advised_workers(const active_job& job, const step_id& step, common::steady_time now);
-    void ask_for_advice(common::steady_time now);
-    [[nodiscard]] rank rank_of(active_job& job, std::int64_t unix_ms) const;
 
     // scheduler_reservations.cpp: reservations for large tasks
     void begin_reservations(common::steady_time now);
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -15,9 +15,6 @@
 constexpr std::int64_t waiting_jobs_per_ms = 20;
 constexpr common::milliseconds max_dispatch_gap{50};
 
-/// Critical paths change as run times are learned, and when a step ends.
-constexpr common::milliseconds path_refresh_interval{200};
-
 /// Minimum gap before a round that an event causes, so that a burst of ended runs needs one round.
 /// It grows by a millisecond for so many workers, because a round visits all workers of its pools.
 constexpr common::milliseconds reaction_gap{5};
@@ -26,22 +23,6 @@
 /// A timed occurrence starts this long after its due time, because clocks differ.
 constexpr std::int64_t due_margin_ms = 30;
 
-/// A ticket is not used within this time before its expiry.
-constexpr common::milliseconds ticket_expiry_margin{300};
-
-/// A job that has not begun needs this share of its path, and this time for each step, as a margin:
-/// run times are estimates, a step ends with its slowest task, and starts and ends take time to
-/// store and to report.
-constexpr double estimate_error_share = 0.35;
-constexpr common::milliseconds step_overhead{120};
-
-/// A job that has begun may exceed its objective by this share of its remaining path and still be
-/// expected to be in time, because its run times are estimates.
-constexpr double begun_overrun_share = 0.25;
-
-/// A job earns no credit after this multiple of its latency objective.
-constexpr double credit_cutoff_factor = 3.0;
-
 /// Returns whether a task has no constraints beside its size. A constrained task fits nowhere if an
 /// unconstrained one of the same size fits nowhere.
 bool is_unconstrained(const placement_request& request)
@@ -53,68 +34,6 @@
 
 } // namespace
 
-scheduler::rank scheduler::rank_of(active_job& job, std::int64_t unix_ms) const
-{
-    using enum dispatch_group;
-    const jobs::queue_policy& queue = this->policy_of(job);
-    if (job.spec.is_long_running()) {
-        return {long_running, queue.priority, static_cast<double>(job.spec.accepted_ms)};
-    }
-    this->refresh_paths(job, unix_ms);
-    const auto total_path = static_cast<double>(job.paths.total.count());
-    const double objective = queue.stretch * total_path + static_cast<double>(queue.target.count());
-    const auto age = static_cast<double>(unix_ms - job.spec.due_ms(job.paths.occurrence));
-    const auto remaining = static_cast<double>(job.paths.remaining.count());
-    const double slack = objective - age - remaining;
-    job.has_little_slack = slack < remaining;
-    // Begun jobs go on as long as they may still be in time, because what has run would be wasted.
-    const double margin =
-        has_begun(job) ? -begun_overrun_share * remaining
-                       : estimate_error_share * remaining +
-                             static_cast<double>(job.paths.remaining_steps * step_overhead.count());
-    if (slack >= margin) {
-        return {likely_in_time, queue.priority, slack};
-    }
-    if (slack >= 0) {
-        return {perhaps_in_time, queue.priority, -slack};
-    }
-    const bool earns_credit = credit_cutoff_factor * objective - age - remaining > 0;
-    return {earns_credit ? late : too_late, queue.priority, slack};
-}
-
-void scheduler::refresh_paths(active_job& job, std::int64_t unix_ms) const
-{
-    if (this->last_now < job.paths.valid_until) {
-        return;
-    }
-    std::int64_t occurrence = 0;
-    while (occurrence + 1 < job.spec.occurrences() && job.spec.due_ms(occurrence + 1) <= unix_ms) {
-        ++occurrence;
-    }
-    const auto& counts = job.counts.at(static_cast<std::size_t>(occurrence));
-    std::int64_t remaining_steps = 0;
-    for (std::size_t s = 0; s < counts.size(); ++s) {
-        remaining_steps += counts[s].done < job.spec.steps[s].count ? 1 : 0;
-    }
-    job.paths = {this->critical_path(job), this->remaining_critical_path(job, occurrence),
-                 remaining_steps, occurrence, this->last_now + path_refresh_interval};
-}
-
-common::milliseconds scheduler::critical_path(const active_job& job) const
-{
-    std::vector<common::milliseconds> ends(job.spec.steps.size());
-    common::milliseconds longest{0};
-    for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-        common::milliseconds begin{0};
-        for (const jobs::step_index each : job.spec.steps[s].after) {
-            begin = std::max(begin, ends.at(each));
-        }
-        ends[s] = begin + this->durations.expected(job.spec.queue, job.spec.steps[s].estimate);
-        longest = std::max(longest, ends[s]);
-    }
-    return longest;
-}
-
 void scheduler::dispatch(common::steady_time now, std::int64_t unix_ms)
 {
     this->next_dispatch = now + dispatch_interval;
@@ -335,174 +254,6 @@
     return best;
 }
 
-const scheduler::ticket_cache* scheduler::find_tickets(active_job& job, std::int64_t occurrence,
-                                                       jobs::step_index step,
-                                                       common::steady_time now)
-{
-    ticket_cache& cache = job.tickets[{occurrence, step}];
-    if (cache.expired_at != now) {
-        cache.expired_at = now;
-        std::erase_if(cache.advised, [&](const auto& each) {
-            const auto worker = this->workers.find(each.first);
-            const bool is_gone =
-                worker == this->workers.end() ||
-                worker->second.entry.instance.started_at_ms != each.second.started_at_ms;
-            const bool is_old = is_gone || now >= each.second.valid_until;
-            if (is_old) {
-                cache.tickets.erase(each.first);
-            }
-            return is_old;
-        });
-    }
-    return cache.tickets.empty() ? nullptr : &cache;
-}
-
-const std::string* scheduler::find_ticket(const active_job& job, const jobs::task_id& task,
-                                          const worker_instance& worker)
-{
-    const auto known = job.tickets.find({task.occurrence, task.step});
-    if (known == job.tickets.end()) {
-        return nullptr;
-    }
-    const auto ticket = known->second.tickets.find(worker.id);
-    return ticket == known->second.tickets.end() ? nullptr : &ticket->second;
-}
-
-bool scheduler::is_worth_asking_for(const worker_state& worker, const jobs::step& step,
-                                    const ticket_cache& known)
-{
-    return !worker.isolated_task && has_label(worker.entry, step.required_label) &&
-           !known.advised.contains(worker.entry.instance.id);
-}
-
-void scheduler::want_tickets(active_job& job, std::int64_t occurrence, jobs::step_index step,
-                             common::steady_time now)
-{
-    const jobs::step& spec = job.spec.steps.at(step);
-    const std::string& pool = this->policy_of(job).pool;
-    const teams::resources size = footprint(spec);
-    if (this->round->fits_nowhere(pool, size)) {
-        return;
-    }
-    const ticket_cache& known = job.tickets[{occurrence, step}];
-    const auto claim = this->claim_if_reserved(job, {job.spec.id, occurrence, step, 0}, now);
-    bool fits_somewhere = false;
-    for (const worker_state* each : this->round->usable_in(pool)) {
-        if (!each->has_room_for(size)) {
-            continue;
-        }
-        if (claim && !this->reservations.cost_of(each->entry.instance.id, *claim, {})) {
-            fits_somewhere = true; // for the tasks that it is reserved for
-            continue;
-        }
-        fits_somewhere = true;
-        if (is_worth_asking_for(*each, spec, known)) {
-            this->needed_advice.add({job.spec.id, occurrence, step}, now);
-            return;
-        }
-    }
-    if (!fits_somewhere) {
-        this->round->mark_fits_nowhere(pool, size);
-    }
-}
-
-std::vector<worker_instance> scheduler::choose_advised_workers(const active_job& job,
-                                                               const step_id& step,
-                                                               common::steady_time now)
-{
-    const jobs::step& spec = job.spec.steps.at(step.step);
-    const ticket_cache& known = job.tickets.at({step.occurrence, step.step});
-    const teams::resources size = footprint(spec);
-    this->index_pools();
-    const auto pool = this->workers_by_pool->find(this->policy_of(job).pool);
-    if (pool == this->workers_by_pool->end()) {
-        return {};
-    }
-    const auto is_candidate = [&](const worker_state* each) {
-        return is_usable(*each, now) && is_worth_asking_for(*each, spec, known);
-    };
-    if (std::none_of(pool->second.begin(), pool->second.end(), [&](const worker_state* each) {
-            return each->has_room_for(size) && is_candidate(each);
-        })) {
-        return {};
-    }
-    // Those with room near the data first, then others with room, then those that may have room
-    // while the tickets are valid.
-    enum preference { near_data, with_room, without_room };
-    std::vector<std::pair<preference, const worker_state*>> candidates;
-    for (const worker_state* each : pool->second) {
-        if (is_candidate(each)) {
-            const bool is_near = each->entry.rack == spec.preferred_rack;
-            candidates.emplace_back(!each->has_room_for(size) ? without_room
-                                    : is_near                 ? near_data
-                                                              : with_room,
-                                    each);
-        }
-    }
-    // Steps name different workers first, or all would get tickets for the same few.
-    const std::size_t offset = std::hash<std::string>{}(step.job) + step.step;
-    std::rotate(candidates.begin(),
-                candidates.begin() + static_cast<std::ptrdiff_t>(offset % candidates.size()),
-                candidates.end());
-    std::stable_sort(candidates.begin(), candidates.end(),
-                     [](const auto& left, const auto& right) { return left.first < right.first; });
-    candidates.resize(std::min(candidates.size(), this->needed_advice.max_workers()));
-    std::vector<worker_instance> chosen;
-    chosen.reserve(candidates.size());
-    for (const auto& [ignored, worker] : candidates) {
-        chosen.push_back(worker->entry.instance);
-    }
-    return chosen;
-}
-
-void scheduler::ask_for_advice(common::steady_time now)
-{
-    if (!this->may_start(now) || !this->needed_advice.may_call(now)) {
-        return;
-    }
-    for (const step_id& step : this->needed_advice.oldest_first()) {
-        active_job* job = this->find_job(step.job);
-        if (job == nullptr || jobs::is_final(job->progress.state)) {
-            continue;
-        }
-        std::vector<worker_instance> named = this->choose_advised_workers(*job, step, now);
-        if (named.empty()) {
-            continue;
-        }
-        advice_request request{step.job, step.occurrence, step.step, {}};
-        for (const worker_instance& each : named) {
-            request.workers.push_back(each.id);
-        }
-        job->tickets.at({step.occurrence, step.step}).named = std::move(named);
-        this->needed_advice.handle_request(step, now);
-        this->actions.emplace_back(std::move(request));
-        if (!this->needed_advice.may_call(now)) {
-            return;
-        }
-    }
-}
-
-void scheduler::handle_advice(const advice_response& answer, common::steady_time now)
-{
-    this->last_now = now;
-    this->needed_advice.handle_response({answer.job, answer.occurrence, answer.step},
-                                        answer.tickets.has_value(), now);
-    active_job* job = this->find_job(answer.job);
-    if (job != nullptr && answer.tickets) {
-        ticket_cache& cache = job->tickets[{answer.occurrence, answer.step}];
-        const common::steady_time valid_until = now + answer.valid - ticket_expiry_margin;
-        for (const worker_instance& each : std::exchange(cache.named, {})) {
-            cache.advised[each.id] = {each.started_at_ms, valid_until};
-            const auto ticket = answer.tickets->find(each.id);
-            if (ticket != answer.tickets->end()) {
-                cache.tickets[each.id] = ticket->second;
-            }
-        }
-        this->dispatch_due = true;
-    }
-    this->ask_for_advice(now);
-}
-
 bool scheduler::place_task(active_job& job, const jobs::task_id& task, common::steady_time now)
 {
     const teams::resources size = footprint(job.spec.steps.at(task.step));
