Ask a worker once more before its lapsed leases end its runs while the owner lags

Cause: an owner without enough processor time may not have read a worker's reports when the leases have run out. It took the worker for silent and started tasks again that had been reported as done. Ruled out: a takeover; there was none. Change: while the owner lags, and for the duration of a lease after, a run is given up only if a poll that was sent after the lease had run out got no response either. Without lag nothing changes.

--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -115,6 +115,9 @@
 
 void scheduler::set_batch_window(common::milliseconds window)
 {
+    if (window.count() > 0 || this->batch_window.count() > 0) {
+        this->lagged_at = this->last_now;
+    }
     this->batch_window = window;
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -348,6 +348,8 @@
                                                            common::steady_time now) const;
     void expect_start(worker_state& worker, const jobs::task_id& task);
     void expire_workers(common::steady_time now);
+    [[nodiscard]] bool is_silence_certain(const worker_state& worker,
+                                          common::steady_time now) const;
     void withdraw_start(const active_job& job, const jobs::task_id& task, common::steady_time now);
     void request_stop(const jobs::task_id& task, open_run& run, common::steady_time now);
     [[nodiscard]] std::int64_t deadline_for(const worker_state& worker, common::steady_time now,
@@ -489,6 +491,7 @@
     std::int64_t newest_stale_revision = 0; ///< notifications up to it are ignored
     common::steady_time last_now;
     common::milliseconds batch_window{0};
+    common::steady_time lagged_at; ///< when the owner last lacked processor time
     /// Stops of an earlier owner have taken effect by this time.
     common::steady_time earlier_stops_until;
     std::int64_t last_unix_ms = 0;
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -339,6 +339,7 @@
         return;
     }
     if (answer.outcome != command_outcome::accepted) {
+        worker->missed_poll_sent_at = answer.sent_at;
         if (worker->missed_polls++ == 0) {
             this->record(decision_record::kind::worker_suspected, worker->entry.instance.id,
                          std::string(to_string(answer.outcome)));
@@ -619,6 +620,15 @@
     }
 }
 
+/// An owner that lags may not have read what a worker reported before its leases ran out, and would
+/// start completed tasks again. Such an owner asks once more after the leases have run out.
+bool scheduler::is_silence_certain(const worker_state& worker, common::steady_time now) const
+{
+    const bool lags =
+        this->batch_window.count() > 0 || now < this->lagged_at + this->options.lease_duration;
+    return !lags || worker.missed_poll_sent_at >= worker.leases_end_by;
+}
+
 void scheduler::expire_workers(common::steady_time now)
 {
     this->note_unexplained(this->unexplained_losses.take_expired(now), -1);
@@ -628,11 +638,13 @@
         // An instance that vanished around a change of the owner can not be related to its VM.
         const worker_loss how =
             worker.listing == 0 ? worker_loss::crashed : worker_loss::unexplained;
-        if (now >= worker.leases_end_by && !worker.runs.empty() && worker.missed_polls > 0) {
+        const bool has_expired = now >= worker.leases_end_by && !worker.runs.empty() &&
+                                 this->is_silence_certain(worker, now);
+        if (has_expired && worker.missed_polls > 0) {
             this->mark_runs_lost(worker, how, "lease expired while the worker did not respond",
                                  now);
         }
-        if (!worker.token_seen && now >= worker.leases_end_by && !worker.runs.empty()) {
+        if (has_expired && !worker.token_seen) {
             this->mark_runs_lost(worker, how, "leases of the earlier owner expired", now);
         }
         const bool removable = !worker.listed && worker.runs.empty() && !worker.poll_in_flight;
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -158,6 +158,42 @@
     cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::completed);
 }
 
+Test(scheduler_recovery, an_owner_that_lags_asks_after_the_leases_before_it_gives_up_runs)
+{
+    // given: the owner lags, and the polls of a worker seem unanswered
+    scheduler_fixture fixture({make_worker("w1"), make_worker("w2")});
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    const start_command start = fixture.starts.at(0);
+    const std::string& id = start.worker.id;
+    fixture.answer_start(start, command_outcome::accepted);
+    fixture.under_test.set_batch_window(milliseconds(50));
+    const auto leases_end_by = [&] {
+        return fixture.under_test.all_workers().at(id).leases_end_by;
+    };
+    fixture.fail_poll(id);
+    while (fixture.now() < leases_end_by() || !fixture.polls.contains(id)) {
+        if (fixture.polls.contains(id)) {
+            fixture.fail_poll(id);
+        }
+        fixture.advance(fixture.now_ms + 50);
+    }
+
+    // when, then: nothing is given up before the answer to a poll that was sent after that
+    cr_assert(fixture.poll_sent_at.at(id) >= leases_end_by());
+    for (int i = 0; i < 4; ++i) {
+        fixture.advance(fixture.now_ms + 100);
+    }
+    cr_assert(fixture.starts.size() == 1);
+
+    // when, then: it has none
+    fixture.fail_poll(id);
+    for (int i = 0; i < 4; ++i) {
+        fixture.advance(fixture.now_ms + 100);
+    }
+    cr_assert(fixture.starts.size() == 2);
+}
+
 Test(scheduler_recovery, a_newer_instance_proves_that_the_earlier_one_has_ended)
 {
     // given
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -37,7 +37,8 @@
     common::steady_time poll_sent_at;
     common::steady_time next_poll;
     std::int64_t missed_polls = 0;
-    common::milliseconds poll_wait{60000}; ///< maximum wait of the next poll
+    common::steady_time missed_poll_sent_at; ///< when the latest poll without a response was sent
+    common::milliseconds poll_wait{60000};   ///< maximum wait of the next poll
 
     /// The worker's clock in a response, and when that response was handled. Of all responses, the
     /// one that gives the latest `clock_at` is kept: a response that was handled late shows a clock
