Bound the extra question before leases end runs to a much lagging owner

A worker at whose address another instance answers never met the condition. Change: the check applies from the longest batch window on (40 ms), and an answer of another instance counts as a poll without a response.

--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "scheduling/batch_window.h"
+
 namespace chervilslip::scheduling {
 
 namespace {
@@ -115,7 +117,8 @@
 
 void scheduler::set_batch_window(common::milliseconds window)
 {
-    if (window.count() > 0 || this->batch_window.count() > 0) {
+    // A shorter window shows a lag in which no report goes unread for long.
+    if (std::max(window, this->batch_window) >= scheduling::batch_window::longest) {
         this->lagged_at = this->last_now;
     }
     this->batch_window = window;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -491,7 +491,7 @@
     std::int64_t newest_stale_revision = 0; ///< notifications up to it are ignored
     common::steady_time last_now;
     common::milliseconds batch_window{0};
-    common::steady_time lagged_at; ///< when the owner last lacked processor time
+    common::steady_time lagged_at; ///< when the owner last lacked much processor time
     /// Stops of an earlier owner have taken effect by this time.
     common::steady_time earlier_stops_until;
     std::int64_t last_unix_ms = 0;
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -3,6 +3,8 @@
 
 #include <unordered_map>
 
+#include "scheduling/batch_window.h"
+
 namespace chervilslip::scheduling {
 
 namespace {
@@ -326,6 +328,9 @@
         this->fenced = true;
         return;
     }
+    if (answer.outcome != command_outcome::accepted) {
+        worker->missed_poll_sent_at = answer.sent_at;
+    }
     if (answer.outcome == command_outcome::other_instance) {
         const std::set<jobs::task_id> in_flight = this->starts_in_flight(*worker, now);
         this->mark_runs_lost(*worker, worker_loss::unexplained,
@@ -339,7 +344,6 @@
         return;
     }
     if (answer.outcome != command_outcome::accepted) {
-        worker->missed_poll_sent_at = answer.sent_at;
         if (worker->missed_polls++ == 0) {
             this->record(decision_record::kind::worker_suspected, worker->entry.instance.id,
                          std::string(to_string(answer.outcome)));
@@ -624,8 +628,8 @@
 /// start completed tasks again. Such an owner asks once more after the leases have run out.
 bool scheduler::is_silence_certain(const worker_state& worker, common::steady_time now) const
 {
-    const bool lags =
-        this->batch_window.count() > 0 || now < this->lagged_at + this->options.lease_duration;
+    const bool lags = this->batch_window >= scheduling::batch_window::longest ||
+                      now < this->lagged_at + this->options.lease_duration;
     return !lags || worker.missed_poll_sent_at >= worker.leases_end_by;
 }
 
