Let the stand-ins of the second review lose the store, and beat apart

Cause: case 8 needs a store whose leases and entries run out while it is down, and workers that write at different moments.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -173,6 +173,7 @@
         self.next_lease = 7000
         self.changed = asyncio.Event()
         self.delay = 0.004  # of an answer
+        self.down = False   # nothing is answered, and entries and leases run out meanwhile
         self.server = HttpServer(self.handle)
         self.observers = []
 
@@ -217,8 +218,24 @@
         item = self.items.get(key)
         return base64.b64decode(item["value"]).decode() if item else None
 
+    def go_down(self):
+        """Cuts all that wait, and answers nothing."""
+        self.down = True
+        for each in list(self.server.writers):
+            each.close()
+        self.server.writers.clear()
+
+    def come_back(self):
+        """Leases and the workers' entries have run out."""
+        for lease in list(self.leases):
+            self.end_lease(lease)
+        self.apply([], [key for key in self.items if key.startswith("servers/")])
+        self.down = False
+
     async def handle(self, request):
         arrived = time.monotonic()
+        if self.down:
+            return None
         if request.path == "/v1/kv-watch":
             return await self.watch(request)
         result = self.call(request)
@@ -334,12 +351,16 @@
     async def _register(self, life):
         await asyncio.sleep(self.register_after)
         sequence = 0
+        pause = HEARTBEAT * random.random()  # workers don't beat at the same moments
         while self.alive and self.life == life:
             sequence += 1
             self.publish(sequence)
-            await asyncio.sleep(HEARTBEAT)
+            await asyncio.sleep(pause)
+            pause = HEARTBEAT
 
     def publish(self, sequence):
+        if self.system.store.down:
+            return
         self.system.store.put(f"servers/{self.id}", {
             "service": self.service, "address": f"{self.ip}:{WORKER_PORT}", "zone": self.zone,
             "version": "1", "slots": 8, "state": self.state, "coldRemainingMs": 0,
@@ -509,6 +530,7 @@
         self.done_noted = {}  # the same -> when it was taken note of
         self.failed = {}    # task -> set of runs that ended failed
         self.starts = []
+        self.lasting = {}   # step -> (tasks, how many may miss)
         self.broken = []
 
     def breach(self, rule, text):
@@ -534,6 +556,18 @@
         if how == "failed":
             self.failed.setdefault(task, set()).add(run)
 
+    def end_by_order(self, task, worker):
+        """AVAIL: an upkeep ends a task that lasts, while as many others as may miss are away."""
+        step = task.rsplit(".", 1)[0]
+        if step not in self.lasting:
+            return
+        count, may_miss = self.lasting[step]
+        away = [index for index in range(count) if f"{step}.{index}" != task
+                and not self.running.get(f"{step}.{index}")]
+        if len(away) >= may_miss:
+            self.breach("AVAIL", f"an upkeep of {worker.machine} ends {task}, which is at work, while "
+                                 f"{len(away)} others of its step are away (mayMiss {may_miss})")
+
     def noted(self, task, run, worker, how):
         if how == "done":
             self.done_noted.setdefault((task, run, worker.id), self.record.now())
@@ -625,6 +659,8 @@
         if down >= self.caps[wave]:
             self.system.truth.breach("LIMIT", f"upkeep of {worker.machine} while {down} of wave "
                                               f"{wave} are down, cap {self.caps[wave]}")
+        for task in worker.runs:
+            self.system.truth.end_by_order(task, worker)
         self.serviced.add((worker.machine, wave))
         self.state[worker.machine] = "upkeep"
         self.down_for[worker.machine] = wave
