--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,19 +10,17 @@
 
 DARK_S = 0.7          # srv_crash (dark); the deployments' longest is 7.9 s
 REGISTERS_AFTER = 0.4  # a worker writes its entry "approximately every heartbeatMs" (1,500 ms)
-WORK_MS = (2500, 250)  # of the tasks, by turns
-ROUNDS = 6
+WORK_MS = 2500
+ROUNDS = 9
 
 
 async def main(system, trouble):
     truth = system.truth
     for each in system.workers:
         each.register_after = REGISTERS_AFTER
-
-    def work(ms):
-        return [{"count": 6, "cpu": 1000, "memMb": 1000, "estimatedMs": ms}], {"ms": ms, "cpu": 1000}
-
-    await system.submit(0, *work(WORK_MS[0]))
+    step = {"count": 6, "cpu": 1000, "memMb": 1000, "estimatedMs": WORK_MS}
+    spec = {"ms": WORK_MS, "cpu": 1000}
+    await system.submit(0, [step], spec)
     await asyncio.sleep(4)
     jobs = []
     for number in range(ROUNDS):
@@ -33,8 +31,8 @@
         else:
             await asyncio.sleep(DARK_S)
         await asyncio.sleep(0.1)
-        jobs.append(await system.submit(number, *work(WORK_MS[number % 2])))
-        await asyncio.sleep(6)
+        jobs.append(await system.submit(number, [step], spec))
+        await asyncio.sleep(5)
     if None in jobs:
         return 2
     truth.find_repetitions()
