--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -205,6 +205,9 @@
         bool redundant = false; ///< an earlier run of the task has completed after all
         bool inherited = false; ///< an earlier owner started it, at a time that is not known
         bool resumed = false;   ///< from a checkpoint, so its time is not that of a whole run
+        /// Which instance accepted the start. No report of `worker` has listed the run yet unless
+        /// this is `known`.
+        answering_instance accepted_by = answering_instance::known;
         common::steady_time sent_at;
         /// Until then the start may still reach this instance of the worker, to which it was not
         /// sent, or the next one, although this one has been told to reject it.
@@ -344,8 +347,14 @@
     void add_run_to(worker_state& worker, const jobs::task_id& task) const;
     void mark_runs_lost(worker_state& worker, worker_loss how, std::string_view why,
                         common::steady_time now, const std::set<jobs::task_id>& kept = {});
-    [[nodiscard]] std::set<jobs::task_id> starts_in_flight(const worker_state& worker,
-                                                           common::steady_time now) const;
+    /// Returns the runs on a worker that its next instance may hold instead.
+    [[nodiscard]] std::set<jobs::task_id>
+    starts_for_next_instance(const worker_state& worker) const;
+    /// Returns when the leases end at the latest that commands to this instance of a worker have
+    /// given on its next one, whose clock has started anew.
+    [[nodiscard]] common::steady_time leases_on_next_instance(const worker_state& worker) const;
+    void suspect_restart(worker_state& worker, const command_result& answer,
+                         common::steady_time now);
     void expect_start(worker_state& worker, const jobs::task_id& task);
     void expire_workers(common::steady_time now);
     [[nodiscard]] bool is_silence_certain(const worker_state& worker,
--- a/src/scheduling/scheduler_dispatch.cpp
+++ b/src/scheduling/scheduler_dispatch.cpp
@@ -426,7 +426,7 @@
     if (ticket != nullptr) {
         command.ticket = *ticket;
     }
-    worker->extend_leases(command.deadline_ms);
+    worker->extend_leases(command.deadline_ms, now);
     run.phase = run_phase::sent;
     run.start_deadline_ms = command.deadline_ms;
     run.sent_at = now;
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -110,7 +110,7 @@
         }
         std::set<jobs::task_id> kept = this->runs_on(entry.instance, known);
         std::erase_if(known.runs, [&kept](const auto& each) { return kept.contains(each); });
-        const std::set<jobs::task_id> in_flight = this->starts_in_flight(known, now);
+        const std::set<jobs::task_id> in_flight = this->starts_for_next_instance(known);
         std::vector<lost_start> crashed = this->unexplained_losses.take_crashed(entry);
         this->note_unexplained(crashed, -1);
         if (!known.entry.instance.id.empty()) {
@@ -118,7 +118,8 @@
             this->mark_runs_lost(known, loss_of_replaced(known, entry), "the worker restarted", now,
                                  in_flight);
         }
-        const common::steady_time leases_end_by = known.leases_end_by;
+        const common::steady_time leases_end_by =
+            std::max(known.leases_end_by, this->leases_on_next_instance(known));
         known = worker_state{};
         known.entry.instance = entry.instance;
         std::copy_if(in_flight.begin(), in_flight.end(), std::inserter(kept, kept.end()),
@@ -188,33 +189,37 @@
     }
 }
 
-std::set<jobs::task_id> scheduler::starts_in_flight(const worker_state& worker,
-                                                    common::steady_time now) const
+std::set<jobs::task_id> scheduler::starts_for_next_instance(const worker_state& worker) const
 {
     std::set<jobs::task_id> found;
     std::copy_if(worker.runs.begin(), worker.runs.end(), std::inserter(found, found.end()),
                  [&](const jobs::task_id& task) {
                      const open_run& run = this->open_runs.at(task);
-                     const bool may_arrive = run.phase == run_phase::sent ||
-                                             run.phase == run_phase::unanswered ||
-                                             run.may_arrive_until;
-                     return may_arrive &&
-                            now < run.may_arrive_until.value_or(run.sent_at + max_start_flight);
+                     return run.phase == run_phase::sent || run.phase == run_phase::unanswered ||
+                            run.may_arrive_until || run.accepted_by != answering_instance::known;
                  });
     return found;
 }
 
+common::steady_time scheduler::leases_on_next_instance(const worker_state& worker) const
+{
+    return worker.deadline_sent_at + max_start_flight + this->options.inherited_lease;
+}
+
 /// A start names the worker's id only, so one that is in flight when the worker restarts begins on
-/// its next instance.
+/// its next instance. The first report of that instance tells whether one that was accepted, or
+/// that can not arrive any more, has begun there.
 void scheduler::expect_start(worker_state& worker, const jobs::task_id& task)
 {
     open_run& run = this->open_runs.at(task);
     active_job& job = this->jobs_by_id.at(task.job);
     run.worker = worker.entry.instance;
-    run.phase = run_phase::unanswered;
-    run.may_arrive_until = run.may_arrive_until.value_or(run.sent_at + max_start_flight);
-    worker.leases_end_by =
-        std::max(worker.leases_end_by, *run.may_arrive_until + this->options.inherited_lease);
+    if (run.accepted_by == answering_instance::known) {
+        run.phase = run_phase::unanswered;
+        run.may_arrive_until = run.may_arrive_until.value_or(run.sent_at + max_start_flight);
+        worker.leases_end_by =
+            std::max(worker.leases_end_by, *run.may_arrive_until + this->options.inherited_lease);
+    }
     job.progress.tasks.at(static_cast<std::size_t>(task.occurrence))
         .at(task.step)
         .at(static_cast<std::size_t>(task.index))
@@ -227,6 +232,10 @@
 {
     const std::set<jobs::task_id> runs = worker.runs;
     std::vector<lost_start> starting = this->starting_runs(worker);
+    // A start that the next instance accepted came after the loss of this one.
+    std::erase_if(starting, [this](const lost_start& each) {
+        return this->open_runs.at(each.task).accepted_by == answering_instance::next;
+    });
     for (const jobs::task_id& task : runs) {
         if (!kept.contains(task)) {
             this->mark_run_lost(task, why);
@@ -303,7 +312,7 @@
     // extends none, or its runs could never be taken as ended.
     if (worker.token_seen && worker.missed_polls == 0) {
         command.deadline_ms = this->deadline_for(worker, now, this->options.lease_duration);
-        worker.extend_leases(*command.deadline_ms);
+        worker.extend_leases(*command.deadline_ms, now);
         const auto wait = std::min(this->options.poll_wait, worker.poll_wait);
         command.wait = worker.pending_ends.empty() ? wait : common::milliseconds{0};
         if (!worker.suspects.empty() || worker.isolated_task) {
@@ -332,12 +341,12 @@
         worker->missed_poll_sent_at = answer.sent_at;
     }
     if (answer.outcome == command_outcome::other_instance) {
-        const std::set<jobs::task_id> in_flight = this->starts_in_flight(*worker, now);
+        const std::set<jobs::task_id> in_flight = this->starts_for_next_instance(*worker);
         this->mark_runs_lost(*worker, worker_loss::unexplained,
                              "another worker instance answers at its address", now, in_flight);
         if (!in_flight.empty()) {
-            worker->leases_end_by = std::max(
-                worker->leases_end_by, now + max_start_flight + this->options.inherited_lease);
+            worker->leases_end_by =
+                std::max(worker->leases_end_by, this->leases_on_next_instance(*worker));
         }
         this->schedule_poll(*worker, now + poll_retry_interval);
         ++worker->missed_polls;
@@ -363,7 +372,7 @@
     worker->missed_polls = 0;
     const bool first = !worker->token_seen;
     worker->token_seen = true;
-    worker->observe_clock(answer.report.clock_ms, now);
+    worker->observe_clock(answer.report.clock_ms, answer.sent_at, now);
     worker->last_response_at = now;
     this->note_unexplained(this->unexplained_losses.take_alive(worker->entry.instance), -1);
     this->handle_ends(*worker, answer.report.finished, now);
@@ -427,6 +436,7 @@
                                  now);
         }
         run.may_arrive_until.reset();
+        run.accepted_by = answering_instance::known;
         run.percent = reported.percent;
         run.load = reported.load;
         active_job& job = this->jobs_by_id.at(reported.task.job);
@@ -537,6 +547,23 @@
     }
 }
 
+/// The registry names the worker's next instance only seconds later.
+void scheduler::suspect_restart(worker_state& worker, const command_result& answer,
+                                common::steady_time now)
+{
+    if (worker.missed_polls++ == 0) {
+        this->record(decision_record::kind::worker_suspected, worker.entry.instance.id,
+                     "its next instance accepted " + answer.task.to_string() + ", run " +
+                         std::to_string(answer.run) + ": its clock shows " +
+                         std::to_string(answer.clock_ms) +
+                         " ms, that of the known instance shows " +
+                         std::to_string(worker.clock_at(now)) + " ms");
+    }
+    if (!worker.poll_in_flight) {
+        this->schedule_poll(worker, std::min(worker.next_poll, now));
+    }
+}
+
 void scheduler::handle_start_result(const command_result& answer, common::steady_time now)
 {
     this->last_now = now;
@@ -551,7 +578,12 @@
     if (answer.outcome == command_outcome::accepted) {
         run.phase = run_phase::running;
         run.confirmed_at = now;
+        run.accepted_by = answering_instance::unclear;
         if (worker != nullptr) {
+            run.accepted_by = worker->answered_by(answer.clock_ms, run.sent_at, now);
+            if (run.accepted_by == answering_instance::next) {
+                this->suspect_restart(*worker, answer, now);
+            }
             this->begin_run_time(*worker, job, answer.task, run, now);
         }
         if (job.progress.state == jobs::job_state::pending) {
--- /dev/null
+++ b/src/scheduling/tests/next_instance_tests.cpp
@@ -0,0 +1,155 @@
+// Commands that reach the next instance of their worker, which has started again under the same id.
+#include "scheduling/tests/scheduler_fixture.h"
+
+namespace {
+
+using namespace chervilslip;
+using namespace chervilslip::scheduling;
+using namespace chervilslip::scheduling::tests;
+
+/// A clock that has started anew shows this.
+constexpr std::int64_t young_clock_ms = 120;
+
+/// Workers "w1" and "w2", and a start of a job's only task on "w1".
+struct started_on_w1 {
+    started_on_w1()
+    {
+        this->fixture.answer_first_polls();
+        this->fixture.submit_job(make_job("j1"));
+        this->start = this->fixture.starts.at(0);
+        cr_assert(this->start.worker.id == "w1");
+    }
+
+    scheduler_fixture fixture;
+    start_command start;
+};
+
+} // namespace
+
+// Rule TWICE, review/6: the owner took the answer for that of the instance it knew.
+Test(next_instance, a_start_that_the_next_instance_accepted_is_not_made_twice)
+{
+    // given
+    started_on_w1 given;
+    scheduler_fixture& fixture = given.fixture;
+
+    // when: the answer comes from the next instance, which the registry names only later
+    fixture.answer_start(given.start, command_outcome::accepted, young_clock_ms);
+    fixture.advance(fixture.now_ms + 300);
+    const worker_instance next = restart_worker(fixture);
+    fixture.advance(fixture.now_ms + 200);
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+
+    // when
+    answer_poll_of(fixture, next, {scheduler_fixture::running(given.start)});
+    fixture.advance(fixture.now_ms + 200);
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.stops.empty());
+}
+
+// Rule TWICE: the same start, when a poll shows the restart before the registry does.
+Test(next_instance, a_start_that_the_next_instance_accepted_outlives_its_answer_to_a_poll)
+{
+    // given
+    started_on_w1 given;
+    scheduler_fixture& fixture = given.fixture;
+    fixture.answer_start(given.start, command_outcome::accepted, young_clock_ms);
+
+    // when
+    fixture.under_test.handle_poll_result(
+        {given.start.worker, fixture.now(), command_outcome::other_instance, {}}, fixture.now());
+    fixture.advance(fixture.now_ms + 300);
+    const worker_instance next = restart_worker(fixture);
+    answer_poll_of(fixture, next, {scheduler_fixture::running(given.start)});
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.stops.empty());
+}
+
+Test(next_instance, an_accepted_start_that_the_next_instance_does_not_report_is_made_again)
+{
+    // given
+    started_on_w1 given;
+    scheduler_fixture& fixture = given.fixture;
+    fixture.answer_start(given.start, command_outcome::accepted, young_clock_ms);
+    const worker_instance next = restart_worker(fixture);
+
+    // when
+    answer_poll_of(fixture, next, {});
+    fixture.advance(fixture.now_ms + 100);
+
+    // then
+    cr_assert(fixture.starts.size() == 2);
+    cr_assert(fixture.starts.back().run == 2);
+}
+
+// Rule TWICE: a start whose answer was lost had arrived at the next instance long before.
+Test(next_instance, a_start_without_an_answer_that_arrived_long_ago_is_not_made_twice)
+{
+    // given
+    started_on_w1 given;
+    scheduler_fixture& fixture = given.fixture;
+    fixture.answer_start(given.start, command_outcome::unknown);
+
+    // when: it can not arrive any more
+    fixture.advance(fixture.now_ms + 2000);
+    const worker_instance next = restart_worker(fixture);
+    fixture.advance(fixture.now_ms + 200);
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+
+    // when
+    answer_poll_of(fixture, next, {scheduler_fixture::running(given.start)});
+    fixture.advance(fixture.now_ms + 200);
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.stops.empty());
+}
+
+// A task that was started after the crash of a worker did not cause it.
+Test(next_instance, a_start_that_the_next_instance_accepted_is_not_blamed_for_the_crash)
+{
+    // given
+    started_on_w1 given;
+    scheduler_fixture& fixture = given.fixture;
+
+    // when
+    fixture.answer_start(given.start, command_outcome::accepted, young_clock_ms);
+    restart_worker(fixture);
+
+    // then
+    const auto is_blame = [](const decision_record& each) {
+        return each.detail.find("crash") != std::string::npos;
+    };
+    cr_assert(std::none_of(fixture.records.begin(), fixture.records.end(), is_blame));
+}
+
+Test(next_instance, a_clock_tells_which_instance_answered)
+{
+    // given: a poll that was answered at once
+    worker_state worker;
+    cr_assert(worker.answered_by(1000, time_at(0), time_at(10)) == answering_instance::unclear);
+    worker.observe_clock(10'000, time_at(0), time_at(10));
+
+    // when, then
+    const auto answered_by = [&worker](std::int64_t clock_ms) {
+        return worker.answered_by(clock_ms, time_at(500), time_at(510));
+    };
+    cr_assert(answered_by(10'500) == answering_instance::known);
+    cr_assert(answered_by(10'485) == answering_instance::known, "the clock may be 2% slow");
+    cr_assert(answered_by(300) == answering_instance::next);
+    cr_assert(answered_by(9'900) == answering_instance::next);
+    cr_assert(answered_by(20'000) == answering_instance::unclear);
+
+    // given: an instance so young that the next one may show the same
+    worker_state young;
+    young.observe_clock(5, time_at(0), time_at(10));
+    cr_assert(young.answered_by(505, time_at(500), time_at(510)) == answering_instance::unclear);
+}
--- a/src/scheduling/tests/scheduler_fixture.h
+++ b/src/scheduling/tests/scheduler_fixture.h
@@ -127,13 +127,16 @@
         }
     }
 
-    void answer_start(const start_command& start, command_outcome outcome)
+    /// Answers a start. `clock_ms` is that of the instance that answers, by default the known one.
+    void answer_start(const start_command& start, command_outcome outcome,
+                      std::optional<std::int64_t> clock_ms = {})
     {
         command_result answer;
         answer.worker = start.worker;
         answer.task = start.task;
         answer.run = start.run;
         answer.outcome = outcome;
+        answer.clock_ms = clock_ms.value_or(this->clock_ms_at(this->now()));
         this->under_test.handle_start_result(answer, this->now());
         this->advance();
     }
@@ -199,4 +202,33 @@
     }
 };
 
+/// Restarts the worker "w1" under its id, and returns its new instance.
+inline worker_instance restart_worker(scheduler_fixture& fixture)
+{
+    worker_entry next = make_worker("w1");
+    next.instance.started_at_ms = 2;
+    std::vector<worker_entry> entries{next};
+    std::copy_if(fixture.listed.begin(), fixture.listed.end(), std::back_inserter(entries),
+                 [](const worker_entry& each) { return each.instance.id != "w1"; });
+    fixture.polls.clear();
+    fixture.under_test.update_workers(entries, fixture.now());
+    fixture.advance(fixture.now_ms + 20);
+    return next.instance;
+}
+
+/// Answers the pending poll of an instance that has just started.
+inline void answer_poll_of(scheduler_fixture& fixture, const worker_instance& instance,
+                           std::vector<reported_run> running)
+{
+    worker_report report;
+    report.started_at_ms = instance.started_at_ms;
+    report.clock_ms = fixture.now_ms;
+    report.running = std::move(running);
+    fixture.polls.erase(instance.id);
+    fixture.under_test.handle_poll_result(
+        {instance, fixture.poll_sent_at[instance.id], command_outcome::accepted, report},
+        fixture.now());
+    fixture.advance(fixture.now_ms + 20);
+}
+
 } // namespace chervilslip::scheduling::tests
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -654,34 +654,6 @@
     }
 }
 
-/// Restarts the worker "w1" under its id, and returns its new instance.
-worker_instance restart_worker(scheduler_fixture& fixture)
-{
-    worker_entry next = make_worker("w1");
-    next.instance.started_at_ms = 2;
-    std::vector<worker_entry> entries{next};
-    std::copy_if(fixture.listed.begin(), fixture.listed.end(), std::back_inserter(entries),
-                 [](const worker_entry& each) { return each.instance.id != "w1"; });
-    fixture.polls.clear();
-    fixture.under_test.update_workers(entries, fixture.now());
-    fixture.advance(fixture.now_ms + 20);
-    return next.instance;
-}
-
-void answer_poll_of(scheduler_fixture& fixture, const worker_instance& instance,
-                    std::vector<reported_run> running)
-{
-    worker_report report;
-    report.started_at_ms = instance.started_at_ms;
-    report.clock_ms = fixture.now_ms;
-    report.running = std::move(running);
-    fixture.polls.erase(instance.id);
-    fixture.under_test.handle_poll_result(
-        {instance, fixture.poll_sent_at[instance.id], command_outcome::accepted, report},
-        fixture.now());
-    fixture.advance(fixture.now_ms + 20);
-}
-
 Test(scheduler_recovery, a_start_that_reaches_the_next_instance_of_its_worker_is_not_made_twice)
 {
     // given: a start without a response
--- a/src/scheduling/worker_state.cpp
+++ b/src/scheduling/worker_state.cpp
@@ -12,6 +12,9 @@
 constexpr double clock_drift_factor = 1.03;
 constexpr common::milliseconds response_margin{150};
 
+/// Clock readings are rounded, and the times of events are those of their handling.
+constexpr common::milliseconds clock_tolerance{20};
+
 } // namespace
 
 std::int64_t worker_state::clock_at(common::steady_time now) const
@@ -25,12 +28,37 @@
     return this->clock_ms + static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * rate);
 }
 
-void worker_state::observe_clock(std::int64_t shown_ms, common::steady_time now)
+void worker_state::observe_clock(std::int64_t shown_ms, common::steady_time sent_at,
+                                 common::steady_time now)
 {
     if (!this->clock_read_at || shown_ms >= this->clock_at(now)) {
         this->clock_ms = shown_ms;
         this->clock_read_at = now;
+        this->clock_polled_at = sent_at;
+    }
+    this->alive_at = std::max(this->alive_at, sent_at);
+}
+
+answering_instance worker_state::answered_by(std::int64_t shown_ms, common::steady_time sent_at,
+                                             common::steady_time now) const
+{
+    if (!this->clock_read_at) {
+        return answering_instance::unclear;
+    }
+    const common::milliseconds shown(shown_ms);
+    const common::milliseconds earliest(this->clock_at(sent_at));
+    if (shown + clock_tolerance < earliest) {
+        return answering_instance::next;
     }
+    const auto since_reading =
+        std::chrono::duration_cast<common::milliseconds>(now - this->clock_polled_at);
+    const common::milliseconds latest =
+        common::milliseconds(this->clock_ms) + since_reading + clock_tolerance;
+    // The next instance began after the last response of the known one.
+    const auto longest_next_life =
+        std::chrono::duration_cast<common::milliseconds>(now - this->alive_at) + clock_tolerance;
+    return shown <= latest && shown > longest_next_life ? answering_instance::known
+                                                        : answering_instance::unclear;
 }
 
 std::int64_t worker_state::deadline_within(common::steady_time now, common::milliseconds time) const
@@ -38,8 +66,9 @@
     return this->clock_at(now + time);
 }
 
-void worker_state::extend_leases(std::int64_t deadline_ms)
+void worker_state::extend_leases(std::int64_t deadline_ms, common::steady_time now)
 {
+    this->deadline_sent_at = std::max(this->deadline_sent_at, now);
     if (!this->clock_read_at) {
         return;
     }
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -24,6 +24,13 @@
     friend bool operator==(const pending_end&, const pending_end&) = default;
 };
 
+/// Which instance of a worker answered a command, as far as the clock in the answer tells.
+enum class answering_instance {
+    known,
+    next,    ///< a later one: its clock has started anew
+    unclear, ///< either
+};
+
 /// The owner's view of one worker instance.
 struct worker_state {
     worker_entry entry;
@@ -45,9 +52,12 @@
     /// that has gone on since.
     std::int64_t clock_ms = 0;
     std::optional<common::steady_time> clock_read_at; ///< unset: no response yet
-    common::steady_time last_response_at;             ///< when the latest response was handled
+    common::steady_time clock_polled_at;              ///< when the poll with that response was sent
+    common::steady_time alive_at;         ///< when the latest poll with a response was sent
+    common::steady_time last_response_at; ///< when the latest response was handled
     /// Unless a further command extends the leases, no run exists there after this time.
     common::steady_time leases_end_by;
+    common::steady_time deadline_sent_at; ///< when the latest command that extends leases was sent
 
     std::int64_t last_handled_end = 0; ///< highest number of a handled end
     std::int64_t acknowledged = 0;     ///< highest number of a durable end
@@ -83,11 +93,17 @@
     [[nodiscard]] std::int64_t deadline_within(common::steady_time now,
                                                common::milliseconds time) const;
 
-    /// Records the worker's clock in a response that is handled at `now`.
-    void observe_clock(std::int64_t shown_ms, common::steady_time now);
+    /// Records the worker's clock in the response to a poll, which is handled at `now`.
+    void observe_clock(std::int64_t shown_ms, common::steady_time sent_at, common::steady_time now);
+
+    /// Returns which instance answered a command that was sent at `sent_at` and whose answer, with
+    /// the clock at `shown_ms`, is handled at `now`.
+    [[nodiscard]] answering_instance answered_by(std::int64_t shown_ms, common::steady_time sent_at,
+                                                 common::steady_time now) const;
 
-    /// Records that a command extends leases to `deadline_ms` on the worker's clock.
-    void extend_leases(std::int64_t deadline_ms);
+    /// Records that a command that is sent at `now` extends leases to `deadline_ms` on the worker's
+    /// clock.
+    void extend_leases(std::int64_t deadline_ms, common::steady_time now);
 
     /// Returns the free capacity by the owner's own accounting.
     [[nodiscard]] teams::resources free() const;
