Keep runs of earlier owners that the next instance of their worker may hold

Callers would have seen a task run twice after a worker's restart and a change of the owner.

A new owner took the run as lost when it learned that this instance had been replaced, although the next one may have accepted the start.

Change: such runs pass to the next instance; its first report to the new owner decides. If it stays silent, they end with the leases of the earlier owner.

--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -196,7 +196,8 @@
                  [&](const jobs::task_id& task) {
                      const open_run& run = this->open_runs.at(task);
                      return run.phase == run_phase::sent || run.phase == run_phase::unanswered ||
-                            run.may_arrive_until || run.accepted_by != answering_instance::known;
+                            run.phase == run_phase::inherited || run.may_arrive_until ||
+                            run.accepted_by != answering_instance::known;
                  });
     return found;
 }
@@ -214,7 +215,7 @@
     open_run& run = this->open_runs.at(task);
     active_job& job = this->jobs_by_id.at(task.job);
     run.worker = worker.entry.instance;
-    if (run.accepted_by == answering_instance::known) {
+    if (run.accepted_by == answering_instance::known && run.phase != run_phase::inherited) {
         run.phase = run_phase::unanswered;
         run.may_arrive_until = run.may_arrive_until.value_or(run.sent_at + max_start_flight);
         worker.leases_end_by =
--- a/src/scheduling/tests/scheduler_recovery_tests.cpp
+++ b/src/scheduling/tests/scheduler_recovery_tests.cpp
@@ -643,11 +643,19 @@
         worker_entry newer = make_worker("w1");
         newer.instance.started_at_ms = 2;
 
-        // when
+        // when: the newer instance has not answered yet
         scheduler_fixture fixture({newer, make_worker("w2")}, {stored});
         fixture.answer_poll("w2");
         fixture.advance(fixture.now_ms + 200);
 
+        // then: it may hold either run
+        cr_assert(fixture.starts.empty());
+
+        // when: it lists its own
+        const std::int64_t own = first == 2 ? 0 : 1;
+        answer_poll_of(fixture, newer.instance, {{{"j1", 0, 0, own}, 1, {}, 0, 0}});
+        fixture.advance(fixture.now_ms + 200);
+
         // then: only the run on the earlier instance is restarted
         cr_assert_eq(fixture.starts.size(), 1);
         cr_assert_eq(fixture.starts[0].task.index, first - 1 == 0 ? 0 : 1);
--- a/src/scheduling/tests/scheduler_takeover_tests.cpp
+++ b/src/scheduling/tests/scheduler_takeover_tests.cpp
@@ -37,6 +37,52 @@
     cr_assert(fixture.starts[0].task.index == 0);
 }
 
+// Rule TWICE: the earlier owner's start was accepted by the next instance of its worker, and the
+// owner ended before it learned of the restart.
+Test(scheduler_takeover, a_start_of_an_earlier_owner_on_the_next_instance_is_not_made_twice)
+{
+    // given a stored run on an instance that has been replaced
+    job_progress progress = initial_progress(make_job("j1"));
+    progress.tasks[0][0][0] = {task_progress::phase::open, 1, 0, {"w1", 1}, {}};
+    worker_entry restarted = make_worker("w1");
+    restarted.instance.started_at_ms = 2;
+    scheduler_fixture fixture({restarted, make_worker("w2")}, {{make_job("j1"), progress, false}});
+
+    // when
+    fixture.answer_poll("w2");
+    fixture.advance(200);
+
+    // then
+    cr_assert(fixture.starts.empty());
+
+    // when
+    answer_poll_of(fixture, restarted.instance, {{{"j1", 0, 0, 0}, 1, {}, 0, 0}});
+    fixture.advance(400);
+
+    // then
+    cr_assert(fixture.starts.empty());
+    cr_assert(fixture.stops.empty());
+}
+
+Test(scheduler_takeover,
+     a_start_of_an_earlier_owner_is_made_again_if_the_next_instance_stays_silent)
+{
+    // given
+    job_progress progress = initial_progress(make_job("j1"));
+    progress.tasks[0][0][0] = {task_progress::phase::open, 1, 0, {"w1", 1}, {}};
+    worker_entry restarted = make_worker("w1");
+    restarted.instance.started_at_ms = 2;
+    scheduler_fixture fixture({restarted, make_worker("w2")}, {{make_job("j1"), progress, false}});
+    fixture.answer_poll("w2");
+
+    // when, then: leases of the earlier owner end after 6.3 s
+    fixture.advance(6200);
+    cr_assert(fixture.starts.empty());
+    fixture.advance(6400);
+    fixture.advance(6500);
+    cr_assert(fixture.starts.size() == 1);
+}
+
 Test(scheduler_takeover, a_redundant_run_of_an_earlier_owner_counts_until_it_has_ended)
 {
     // given: the first task is done, but its second run is still at work; the limit allows one run
