Acknowledge only ends that the worker has just listed

Callers would have seen a task that had ended `done` run again after a worker's restart.

Cause: every poll carried the number of the last durable end, and a poll that was meant for an earlier instance made the next one forget ends of the same numbers that nobody had read.

Change: a poll acknowledges ends only if the latest report listed some, and none if a poll has had no response since.

--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -308,7 +308,11 @@
     poll_command command;
     command.worker = worker.entry.instance;
     command.address = worker.entry.address;
-    command.acknowledged = worker.acknowledged;
+    // The next instance would forget ends of the same numbers that nobody has read. So only a
+    // worker that has just listed ends, and has responded since, is told to forget them.
+    if (worker.lists_ends && worker.missed_polls == 0) {
+        command.acknowledged = worker.acknowledged;
+    }
     // An unanswered poll may still extend leases later. A poll to an unresponsive worker therefore
     // extends none, or its runs could never be taken as ended.
     if (worker.token_seen && worker.missed_polls == 0) {
@@ -407,6 +411,7 @@
 void scheduler::handle_ends(worker_state& worker, const std::vector<finished_run>& finished,
                             common::steady_time now)
 {
+    worker.lists_ends = !finished.empty();
     for (const finished_run& each : finished) {
         if (each.number > worker.last_handled_end) {
             worker.last_handled_end = each.number;
--- a/src/scheduling/tests/next_instance_tests.cpp
+++ b/src/scheduling/tests/next_instance_tests.cpp
@@ -131,6 +131,43 @@
     cr_assert(std::none_of(fixture.records.begin(), fixture.records.end(), is_blame));
 }
 
+// Rule TWICE: a poll for an earlier instance made the next one forget an end that nobody had read.
+Test(next_instance, a_poll_acknowledges_only_ends_that_the_worker_has_just_listed)
+{
+    // given: an end that is durable
+    started_on_w1 given;
+    scheduler_fixture& fixture = given.fixture;
+    fixture.answer_start(given.start, command_outcome::accepted);
+    fixture.answer_poll("w1", {}, {make_finished_run(1, given.start, end_cause::done)});
+    fixture.advance(fixture.now_ms + 500);
+    fixture.answer_poll("w1", {}, {make_finished_run(1, given.start, end_cause::done)});
+
+    // when, then
+    fixture.advance(fixture.now_ms + 500);
+    cr_assert(fixture.polls.at("w1").acknowledged == 1);
+
+    // when: the poll has no response
+    fixture.fail_poll("w1");
+    fixture.advance(fixture.now_ms + 500);
+
+    // then
+    cr_assert(fixture.polls.at("w1").acknowledged == 0);
+
+    // when: the worker responds and lists the end
+    fixture.answer_poll("w1", {}, {make_finished_run(1, given.start, end_cause::done)});
+    fixture.advance(fixture.now_ms + 500);
+
+    // then
+    cr_assert(fixture.polls.at("w1").acknowledged == 1);
+
+    // when: it has forgotten the end
+    fixture.answer_poll("w1");
+    fixture.advance(fixture.now_ms + 500);
+
+    // then
+    cr_assert(fixture.polls.at("w1").acknowledged == 0);
+}
+
 Test(next_instance, a_clock_tells_which_instance_answered)
 {
     // given: a poll that was answered at once
--- a/src/scheduling/worker_state.h
+++ b/src/scheduling/worker_state.h
@@ -61,6 +61,7 @@
 
     std::int64_t last_handled_end = 0; ///< highest number of a handled end
     std::int64_t acknowledged = 0;     ///< highest number of a durable end
+    bool lists_ends = false;           ///< the latest report listed ends, durable ones perhaps
     std::deque<pending_end> pending_ends;
 
     teams::resources used; ///< by all runs that may exist there
