Count one crash at most under one run of a task

Callers would have seen a job fail because one of its starts was kept through several restarts of a worker.

Cause: a start that may have reached the next instance was counted as a crash at each restart, again when its lease expired, and again by each new owner.

--- a/src/scheduling/crash_ledger.h
+++ b/src/scheduling/crash_ledger.h
@@ -42,6 +42,7 @@
     /// The worker has accepted the start from this owner, so the run had surely just begun.
     bool begun = false;
     bool inherited = false; ///< an earlier owner started it, at a time that is not known
+    std::int64_t run = 0;   ///< of the task
 
     friend bool operator==(const lost_start&, const lost_start&) = default;
 };
--- a/src/scheduling/progress.cpp
+++ b/src/scheduling/progress.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t fields_of_progress = 3;
 constexpr std::size_t fields_with_start_records = 4;
 constexpr std::size_t fields_with_redundant_runs = 5;
-constexpr std::size_t fields_of_start_record = 6;
+constexpr std::size_t fields_of_start_record = 7;
 constexpr std::size_t fields_of_redundant_run = 6;
 
 struct start_record {
@@ -30,6 +30,7 @@
     std::int64_t crashes = 0;
     std::int64_t certain_crashes = 0;
     bool survived = false;
+    std::int64_t last_crashed_run = 0;
 
     friend bool operator==(const start_record&, const start_record&) = default;
 };
@@ -43,7 +44,8 @@
                 const task_progress& task = value.tasks[k][s][i];
                 const std::int64_t crashes = task.crashes + task.unexplained_losses;
                 if (crashes > 0 || task.survived) {
-                    records.push_back({k, s, i, crashes, task.certain_crashes, task.survived});
+                    records.push_back({k, s, i, crashes, task.certain_crashes, task.survived,
+                                       task.last_crashed_run});
                 }
             }
         }
@@ -162,7 +164,8 @@
             .add(each.index)
             .add(each.crashes)
             .add(each.certain_crashes)
-            .add(each.survived);
+            .add(each.survived)
+            .add(each.last_crashed_run);
     }
     if (!redundant.empty()) {
         to.array(redundant.size());
@@ -206,6 +209,9 @@
                     task.crashes = record.get<std::int64_t>(3);
                     task.certain_crashes = record.get<std::int64_t>(4);
                     task.survived = record.get<bool>(5);
+                    if (record.size() >= fields_of_start_record) { // not in earlier versions
+                        task.last_crashed_run = record.get<std::int64_t>(6);
+                    }
                 });
             }
             if (row.size() >= fields_with_redundant_runs) {
--- a/src/scheduling/progress.h
+++ b/src/scheduling/progress.h
@@ -16,7 +16,8 @@
     worker_instance worker;    ///< of the open or redundant run
     std::string checkpoint;    ///< latest known; empty: none
     std::int64_t crashes = 0;  ///< workers that crashed while starting it; 0 once it survives
-    std::int64_t certain_crashes = 0; ///< of these, under runs that had surely begun
+    std::int64_t certain_crashes = 0;  ///< of these, under runs that had surely begun
+    std::int64_t last_crashed_run = 0; ///< the latest run that is counted there
     /// Losses that this owner can not explain yet. Stored as crashes, because a later owner can not
     /// explain them any more.
     std::int64_t unexplained_losses = 0;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -367,6 +367,7 @@
     // scheduler_crashes.cpp: tasks that crash their workers
     [[nodiscard]] bool is_starting(const worker_state& worker, const jobs::task_id& task) const;
     [[nodiscard]] std::vector<lost_start> starting_runs(const worker_state& worker) const;
+    [[nodiscard]] bool is_counted(const jobs::task_id& task) const;
     [[nodiscard]] std::int64_t suspicion_of(const active_job& job, const jobs::task_id& task) const;
     void count_crash(const lost_start& lost, common::steady_time now);
     void give_up_if_crashing(active_job& job, common::steady_time now);
--- a/src/scheduling/scheduler_crashes.cpp
+++ b/src/scheduling/scheduler_crashes.cpp
@@ -39,6 +39,16 @@
     return run.phase != run_phase::planned && !survived;
 }
 
+/// A run that may have passed to the next instance is not lost with that one again.
+bool scheduler::is_counted(const jobs::task_id& task) const
+{
+    return this->jobs_by_id.at(task.job)
+               .progress.tasks.at(static_cast<std::size_t>(task.occurrence))
+               .at(task.step)
+               .at(static_cast<std::size_t>(task.index))
+               .last_crashed_run == this->open_runs.at(task).run;
+}
+
 std::vector<lost_start> scheduler::starting_runs(const worker_state& worker) const
 {
     // A response that came after the start shows that the worker was not lost at it.
@@ -60,12 +70,12 @@
         const bool was_gone =
             is_unanswered(task) && this->open_runs.at(task).start_deadline_ms >
                                        first_deadline + start_order_margin.count();
-        if (!was_gone && this->is_starting(worker, task)) {
+        if (!was_gone && this->is_starting(worker, task) && !this->is_counted(task)) {
             // An inherited run may have survived its start under an earlier owner.
             const open_run& run = this->open_runs.at(task);
             const bool has_begun =
                 run.phase == run_phase::running && !run.inherited && !run.stop_sent;
-            starting.push_back({task, has_begun, run.inherited});
+            starting.push_back({task, has_begun, run.inherited, run.run});
         }
     }
     return starting;
@@ -96,6 +106,7 @@
     if (lost.inherited && job->spec.steps.at(task.step).long_running) {
         return; // it may have run for any time under earlier owners
     }
+    progress.last_crashed_run = lost.run;
     ++progress.crashes;
     progress.certain_crashes += lost.begun ? 1 : 0;
     this->hold_back_if_crashing(*job, task, now);
--- a/src/scheduling/tests/next_instance_tests.cpp
+++ b/src/scheduling/tests/next_instance_tests.cpp
@@ -131,6 +131,28 @@
     cr_assert(std::none_of(fixture.records.begin(), fixture.records.end(), is_blame));
 }
 
+// Rule LOST: a job was given up because one start passed from instance to instance of a worker.
+Test(next_instance, a_start_that_passes_through_several_instances_counts_as_one_crash)
+{
+    // given: a start without an answer, and two restarts in which the worker does not respond
+    started_on_w1 given;
+    scheduler_fixture& fixture = given.fixture;
+    fixture.answer_start(given.start, command_outcome::unknown);
+    restart_worker(fixture);
+    worker_entry third = make_worker("w1");
+    third.instance.started_at_ms = 3;
+
+    // when
+    fixture.under_test.update_workers({third, make_worker("w2")}, fixture.now());
+    fixture.advance(fixture.now_ms + 20);
+
+    // then
+    const auto is_blame = [](const decision_record& each) {
+        return each.detail.find("its worker crashed") != std::string::npos;
+    };
+    cr_assert(std::count_if(fixture.records.begin(), fixture.records.end(), is_blame) == 1);
+}
+
 // Rule TWICE: a poll for an earlier instance made the next one forget an end that nobody had read.
 Test(next_instance, a_poll_acknowledges_only_ends_that_the_worker_has_just_listed)
 {
