Count with the longest lease where an earlier instance's clock may have set it

Callers would have seen a task run twice when a worker restarts under its id and is cut off soon after.

Cause: a deadline on the clock of an earlier instance gives the next one the longest lease, 6 s, while the owner counted with the 5 s that it asks for. The deadline is one for all runs of the worker.

Change: after a restart, and until the first answer to a new owner, the leases may end as late as commands to the earlier instance, or of the earlier owner, may have set them. A start that may have reached the next instance outlives the leases of the known one.

--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -118,10 +118,11 @@
             this->mark_runs_lost(known, loss_of_replaced(known, entry), "the worker restarted", now,
                                  in_flight);
         }
-        const common::steady_time leases_end_by =
-            std::max(known.leases_end_by, this->leases_on_next_instance(known));
+        const common::steady_time leases_end_by = known.leases_end_by;
+        const common::steady_time leases_from_earlier = this->leases_on_next_instance(known);
         known = worker_state{};
         known.entry.instance = entry.instance;
+        known.leases_end_by = leases_from_earlier;
         std::copy_if(in_flight.begin(), in_flight.end(), std::inserter(kept, kept.end()),
                      [this](const jobs::task_id& each) { return this->open_runs.contains(each); });
         for (const jobs::task_id& task : kept) {
@@ -377,6 +378,12 @@
     worker->missed_polls = 0;
     const bool first = !worker->token_seen;
     worker->token_seen = true;
+    if (first) {
+        // Until now commands of an earlier owner could extend the leases, which the worker has one
+        // of for all its runs.
+        worker->leases_end_by =
+            std::max(worker->leases_end_by, now + this->options.inherited_lease);
+    }
     worker->observe_clock(answer.report.clock_ms, answer.sent_at, now);
     worker->last_response_at = now;
     this->note_unexplained(this->unexplained_losses.take_alive(worker->entry.instance), -1);
@@ -680,14 +687,19 @@
         // An instance that vanished around a change of the owner can not be related to its VM.
         const worker_loss how =
             worker.listing == 0 ? worker_loss::crashed : worker_loss::unexplained;
-        const bool has_expired = now >= worker.leases_end_by && !worker.runs.empty() &&
-                                 this->is_silence_certain(worker, now);
+        const bool is_due = now >= worker.leases_end_by && !worker.runs.empty() &&
+                            this->is_silence_certain(worker, now);
+        std::set<jobs::task_id> kept;
+        if (is_due && now < this->leases_on_next_instance(worker)) {
+            kept = this->starts_for_next_instance(worker);
+        }
+        const bool has_expired = is_due && kept.size() < worker.runs.size();
         if (has_expired && worker.missed_polls > 0) {
-            this->mark_runs_lost(worker, how, "lease expired while the worker did not respond",
-                                 now);
+            this->mark_runs_lost(worker, how, "lease expired while the worker did not respond", now,
+                                 kept);
         }
         if (has_expired && !worker.token_seen) {
-            this->mark_runs_lost(worker, how, "leases of the earlier owner expired", now);
+            this->mark_runs_lost(worker, how, "leases of the earlier owner expired", now, kept);
         }
         const bool removable = !worker.listed && worker.runs.empty() && !worker.poll_in_flight;
         if (removable) {
--- a/src/scheduling/tests/next_instance_tests.cpp
+++ b/src/scheduling/tests/next_instance_tests.cpp
@@ -190,6 +190,80 @@
     cr_assert(fixture.polls.at("w1").acknowledged == 0);
 }
 
+// Rule TWICE: a deadline on the earlier instance's clock gave the next one its longest lease, and a
+// cut followed.
+Test(next_instance, a_start_outlives_its_lease_by_the_clock_of_the_earlier_instance)
+{
+    // given: a run that was accepted, and starts that may have reached the next instance
+    scheduler_fixture fixture;
+    fixture.answer_first_polls();
+    fixture.advance(3000);
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1", 3));
+    cr_assert(fixture.starts.size() == 3);
+    fixture.answer_start(fixture.starts[0], command_outcome::accepted);
+    fixture.answer_start(fixture.starts[1], command_outcome::unknown);
+    fixture.answer_start(fixture.starts[2], command_outcome::accepted, young_clock_ms);
+    const std::string id = fixture.starts[0].worker.id;
+    cr_assert(fixture.starts[1].worker.id == id && fixture.starts[2].worker.id == id);
+    const std::int64_t sent_ms = fixture.now_ms;
+
+    // when: the worker is silent from then on
+    const auto be_silent_until = [&](std::int64_t end_ms) {
+        while (fixture.now_ms < end_ms) {
+            fixture.advance(fixture.now_ms + 50);
+            if (fixture.polls.contains(id)) {
+                fixture.fail_poll(id);
+            }
+            const std::string other = id == "w1" ? "w2" : "w1";
+            if (fixture.polls.contains(other)) {
+                fixture.answer_poll(other);
+            }
+        }
+    };
+    be_silent_until(sent_ms + 6000);
+
+    // then: only the first is made again
+    cr_assert(fixture.starts.size() == 4);
+    cr_assert(fixture.starts[3].task == fixture.starts[0].task);
+
+    // when: the longest lease has ended as well
+    be_silent_until(sent_ms + 8000);
+
+    // then
+    cr_assert(fixture.starts.size() == 6);
+}
+
+// Rule TWICE: such a deadline had reached the next instance before its first run, which it then
+// kept longer than the owner counted with.
+Test(next_instance, a_later_run_outlives_its_lease_by_commands_from_before_the_first_report)
+{
+    // given: a worker that stops responding soon after its first report
+    scheduler_fixture fixture({make_worker("w1")});
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    fixture.answer_start(fixture.starts.at(0), command_outcome::accepted);
+    const auto be_silent_until = [&fixture](std::int64_t end_ms) {
+        while (fixture.now_ms < end_ms) {
+            fixture.advance(fixture.now_ms + 50);
+            if (fixture.polls.contains("w1")) {
+                fixture.fail_poll("w1");
+            }
+        }
+    };
+    const auto is_given_up = [&fixture] {
+        const worker_map& workers = fixture.under_test.all_workers();
+        const auto found = workers.find("w1");
+        return found == workers.end() || found->second.runs.empty();
+    };
+
+    // when, then: the longest lease is 6 s, of which the owner asks for 5 s
+    be_silent_until(6200);
+    cr_assert_not(is_given_up());
+    be_silent_until(6600);
+    cr_assert(is_given_up());
+}
+
 Test(next_instance, a_clock_tells_which_instance_answered)
 {
     // given: a poll that was answered at once
