Let workers start again under their ids in the soak, named late and then cut off

Starts are answered with the worker's clock, and a call that waits ends with its instance, as it does on a connection.

--- a/src/soak/fleet_world.cpp
+++ b/src/soak/fleet_world.cpp
@@ -158,7 +158,9 @@
         wanted.ends_per_report = ends_per_report;
         wanted.hides_cut_lists = this->options.fault == fleet_fault::hidden_ends;
         wanted.obeys_older_owners = this->options.fault == fleet_fault::ignore_fences;
+        const scheduling::worker_instance instance = entry.instance;
         this->workers.push_back({fakes::run_model(std::move(entry), wanted, hooks)});
+        this->workers.back().listed = instance;
     }
 }
 
@@ -337,6 +339,7 @@
     for (const worker_model& each : this->workers) {
         if (each.alive || this->now < each.listed_until) {
             entries.push_back(each.runs.entry());
+            entries.back().instance = each.listed;
             if (this->options.fault == fleet_fault::unseen_shrinking) {
                 entries.back().capacity.processors = vm_processors;
             }
--- a/src/soak/fleet_world.h
+++ b/src/soak/fleet_world.h
@@ -40,6 +40,9 @@
     int workers = 6;
     bool crashing_tasks = false;    ///< some tasks crash each worker that starts them
     bool changing_capacity = false; ///< workers' capacities shrink and grow
+    /// Workers start again within a second, the registry names the new instance late, and many are
+    /// cut off soon after.
+    bool quick_restarts = false;
     fleet_fault fault = fleet_fault::none;
     std::string follow; ///< events that name this job, task or worker are reported; empty: none
 
@@ -73,7 +76,8 @@
     struct worker_model {
         fakes::run_model runs;
         bool alive = true;
-        std::int64_t listed_until = 0; ///< while it is not alive
+        scheduling::worker_instance listed; ///< by the registry
+        std::int64_t listed_until = 0;      ///< while it is not alive
         std::int64_t cut_until = 0;
         std::int64_t earlier_processors = 0; ///< before the capacity shrank
         std::int64_t shrunk_at = 0;
@@ -140,6 +144,8 @@
     void check_gone(const std::string& id);
     void trouble_worker();
     void crash_worker(worker_model& which);
+    void register_worker(worker_model& which);
+    void register_late(const worker_model& which);
     void crash_soon(const std::string& worker, const jobs::task_id& task, std::int64_t run);
     void change_capacity();
     void restore_capacities();
@@ -155,6 +161,8 @@
     void carry_out(const owner& which, scheduling::action&& what);
 
     void send_look(const owner& which, const scheduling::poll_command& order);
+    void give_look_up(const owner& which, const scheduling::poll_command& order, std::int64_t sent,
+                      std::int64_t answer_by);
     void do_look(const owner& which, scheduling::poll_command order, std::int64_t sent,
                  std::int64_t answer_by, bool answered);
     void send_start(const owner& which, const scheduling::start_command& order);
--- a/src/soak/fleet_world_crashes.cpp
+++ b/src/soak/fleet_world_crashes.cpp
@@ -15,6 +15,7 @@
 /// A shrunk capacity counts only after this time, because the owner learns of it with a delay.
 constexpr std::int64_t shrinking_notice_ms = 2500;
 constexpr std::int64_t longest_registry_delay_ms = 1000;
+constexpr std::int64_t longest_registration_lag_ms = 1500; ///< a heartbeat
 
 } // namespace
 
@@ -48,17 +49,57 @@
     which.runs.crash();
     which.listed_until = this->now + registry_lag_ms;
     const std::string id = which.runs.entry().instance.id;
-    this->at(this->now + 500 + static_cast<std::int64_t>(this->random.below(6000)), [this, id] {
+    std::int64_t down_ms = 500 + static_cast<std::int64_t>(this->random.below(6000));
+    if (this->options.quick_restarts) {
+        down_ms = 100 + static_cast<std::int64_t>(this->crash_random.below(1100));
+    }
+    this->at(this->now + down_ms, [this, id] {
         worker_model& reborn = this->worker_of(id);
         const std::int64_t born = reborn.runs.entry().instance.started_at_ms + this->now + 1;
         reborn.alive = true;
         this->trace(id, " is back, started at ", born);
         reborn.runs.begin_life({id, born},
                                static_cast<std::int64_t>(this->random.below(100)) - this->now);
-        if (this->current) {
-            this->tell_workers(this->current);
+        if (this->options.quick_restarts) {
+            this->register_late(reborn);
+        } else {
+            this->register_worker(reborn);
+        }
+    });
+}
+
+void fleet_world::register_worker(worker_model& which)
+{
+    which.listed = which.runs.entry().instance;
+    if (this->current) {
+        this->tell_workers(this->current);
+    }
+}
+
+void fleet_world::register_late(const worker_model& which)
+{
+    const scheduling::worker_instance instance = which.runs.entry().instance;
+    const auto is_same = [this, instance] {
+        const worker_model& now_there = this->worker_of(instance.id);
+        return now_there.alive && now_there.runs.entry().instance == instance;
+    };
+    const auto lag =
+        static_cast<std::int64_t>(this->crash_random.below(longest_registration_lag_ms));
+    this->at(this->now + lag, [this, instance, is_same] {
+        if (is_same()) {
+            this->register_worker(this->worker_of(instance.id));
         }
     });
+    if (this->crash_random.chance(0.5)) {
+        const auto until_cut = 50 + static_cast<std::int64_t>(this->crash_random.below(2000));
+        this->at(this->now + until_cut, [this, instance, is_same] {
+            if (is_same()) {
+                this->worker_of(instance.id).cut_until =
+                    this->now + 3000 + static_cast<std::int64_t>(this->crash_random.below(6000));
+                this->trace(instance.id, " is cut soon after its start");
+            }
+        });
+    }
 }
 
 void fleet_world::change_capacity()
--- a/src/soak/fleet_world_network.cpp
+++ b/src/soak/fleet_world_network.cpp
@@ -146,20 +146,25 @@
     }
 }
 
+void fleet_world::give_look_up(const owner& which, const scheduling::poll_command& order,
+                               std::int64_t sent, std::int64_t answer_by)
+{
+    this->at(answer_by, [this, which, order, sent] {
+        if (!which->gone) {
+            which->scheduler->handle_poll_result(
+                {order.worker, steady(sent), command_outcome::unknown, {}}, steady(this->now));
+            this->run_cell(which);
+        }
+    });
+}
+
 void fleet_world::do_look(const owner& which, scheduling::poll_command order, std::int64_t sent,
                           std::int64_t answer_by, bool answered)
 {
     worker_model& at = this->worker_of(order.worker.id);
     if (!this->reaches(at) || this->is_dropped(at, order.worker, sent, latest_relayed_poll_ms)) {
         if (answered) {
-            this->at(answer_by, [this, which, order, sent] {
-                if (!which->gone) {
-                    which->scheduler->handle_poll_result(
-                        {order.worker, steady(sent), command_outcome::unknown, {}},
-                        steady(this->now));
-                    this->run_cell(which);
-                }
-            });
+            this->give_look_up(which, order, sent, answer_by);
         }
         return;
     }
@@ -175,9 +180,15 @@
     if (outcome == command_outcome::accepted && !at.runs.has_ends() &&
         this->now < sent + order.wait.count() && answered) {
         order.deadline_ms.reset();
+        order.acknowledged = 0;
         this->at(std::min(this->now + 20, sent + order.wait.count()),
-                 [this, which, order, sent, answer_by] {
-                     this->do_look(which, order, sent, answer_by, true);
+                 [this, which, order, sent, answer_by, instance = at.runs.entry().instance] {
+                     // A call that waits ends with the instance.
+                     if (this->worker_of(order.worker.id).runs.entry().instance == instance) {
+                         this->do_look(which, order, sent, answer_by, true);
+                     } else {
+                         this->give_look_up(which, order, sent, answer_by);
+                     }
                  });
         return;
     }
@@ -213,20 +224,23 @@
     const std::int64_t arrival =
         this->now + 1 + static_cast<std::int64_t>(this->random.below(4)) +
         (late ? 500 + static_cast<std::int64_t>(this->random.below(latest_order_ms)) : 0);
-    auto outcome = std::make_shared<command_outcome>(command_outcome::unknown);
-    this->at(arrival, [this, which, order, outcome, sent = this->now] {
-        *outcome = this->do_start(which->token, order, sent);
+    auto answer = std::make_shared<scheduling::command_result>(
+        scheduling::command_result{order.worker, order.task, order.run, {}, 0});
+    answer->outcome = command_outcome::unknown;
+    this->at(arrival, [this, which, order, answer, lost, sent = this->now] {
+        const command_outcome outcome = this->do_start(which->token, order, sent);
+        if (!lost) {
+            answer->outcome = outcome;
+            answer->clock_ms = this->worker_of(order.worker.id).runs.clock(this->now);
+        }
+    });
+    this->at(lost ? this->now + unanswered_after_ms : arrival + 1, [this, which, answer] {
+        if (which->gone) {
+            return;
+        }
+        which->scheduler->handle_start_result(*answer, steady(this->now));
+        this->run_cell(which);
     });
-    this->at(lost ? this->now + unanswered_after_ms : arrival + 1,
-             [this, which, order, outcome, lost] {
-                 if (which->gone) {
-                     return;
-                 }
-                 scheduling::command_result answer{order.worker, order.task, order.run,
-                                                   lost ? command_outcome::unknown : *outcome, 0};
-                 which->scheduler->handle_start_result(answer, steady(this->now));
-                 this->run_cell(which);
-             });
 }
 
 command_outcome fleet_world::do_start(std::int64_t token, const scheduling::start_command& order,
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -56,14 +56,8 @@
     return report.violations == 0 ? 0 : 1;
 }
 
-int run_fleet(std::uint64_t seed, std::int64_t duration_ms, bool crashes, std::string follow)
+int run_fleet(const chervilslip::soak::fleet_world_options& options)
 {
-    chervilslip::soak::fleet_world_options options;
-    options.seed = seed;
-    options.duration_ms = duration_ms;
-    options.crashing_tasks = crashes;
-    options.changing_capacity = crashes;
-    options.follow = std::move(follow);
     const auto report = chervilslip::soak::fleet_world(options).run();
     std::uint64_t checks = 0;
     std::uint64_t violations = 0;
@@ -81,7 +75,7 @@
     for (const std::string& line : report.followed) {
         std::cout << "followed " << line << "\n";
     }
-    std::cout << "fleet soak: seed=" << seed << " jobs=" << report.jobs
+    std::cout << "fleet soak: seed=" << options.seed << " jobs=" << report.jobs
               << " starts=" << report.starts << " owners=" << report.owners << " checks=" << checks
               << " violations=" << violations << std::endl;
     return violations == 0 ? 0 : 1;
@@ -113,12 +107,22 @@
         const TCLAP::SwitchArg crashes(
             "", "crashes", "with --fleet: tasks crash their workers, and capacities change",
             arguments);
+        const TCLAP::SwitchArg restarts("", "quick-restarts",
+                                        "with --fleet: workers start again under their ids at "
+                                        "once, and are cut off soon after",
+                                        arguments);
         const TCLAP::ValueArg<std::int64_t> duration("", "duration", "milliseconds of trouble",
                                                      false, 60'000, "MS", arguments);
         arguments.parse(argc, argv);
         if (fleet.getValue()) {
-            return run_fleet(seed.getValue(), duration.getValue(), crashes.getValue(),
-                             follow.getValue());
+            chervilslip::soak::fleet_world_options options;
+            options.seed = seed.getValue();
+            options.duration_ms = duration.getValue();
+            options.crashing_tasks = crashes.getValue();
+            options.changing_capacity = crashes.getValue();
+            options.quick_restarts = restarts.getValue();
+            options.follow = follow.getValue();
+            return run_fleet(options);
         }
         const auto fault = planted_faults().find(plant.getValue());
         if (fault == planted_faults().end()) {
--- a/src/soak/tests/fleet_world_tests.cpp
+++ b/src/soak/tests/fleet_world_tests.cpp
@@ -82,6 +82,26 @@
     }
 }
 
+// Rule TWICE, review/6: starts that the next instances of their workers accept.
+Test(fleet_world, holds_while_workers_start_again_under_their_ids, .timeout = 100)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        // given
+        soak::fleet_world_options options;
+        options.seed = seed;
+        options.quick_restarts = true;
+
+        // when
+        const auto report = soak::fleet_world(options).run();
+
+        // then
+        for (const std::string& line : report.first_violations) {
+            cr_log_error("seed %lu: %s", static_cast<unsigned long>(seed), line.c_str());
+        }
+        cr_assert(report.violations.empty());
+    }
+}
+
 Test(fleet_world, holds_with_crashing_tasks_and_changing_capacity, .timeout = 100)
 {
     for (std::uint64_t seed = 1; seed <= 8; ++seed) {
@@ -158,7 +178,7 @@
 
 Test(fleet_world, ignored_fences_are_found)
 {
-    assert_fires(fleet_fault::ignore_fences, "one_run", 68);
+    assert_fires(fleet_fault::ignore_fences, "one_run", 79);
 }
 
 Test(fleet_world, oversold_workers_are_found)
@@ -193,12 +213,12 @@
 
 Test(fleet_world, a_late_notification_of_a_cancelled_job_is_found)
 {
-    assert_fires(fleet_fault::stale_notifications, "no_start_after_cancel", 11);
+    assert_fires(fleet_fault::stale_notifications, "no_start_after_cancel", 22);
 }
 
 Test(fleet_world, an_order_that_meets_the_next_instance_of_its_worker_is_found)
 {
-    assert_fires(fleet_fault::held_up_orders, "not_after_done");
+    assert_fires(fleet_fault::held_up_orders, "not_after_done", 28);
 }
 
 Test(fleet_world, a_task_that_runs_on_after_its_cancellation_is_found)
