--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -314,7 +314,7 @@
     }
     this->next_plan =
         now + plan_interval + common::milliseconds(this->vms.size() / vms_per_plan_ms);
-    if (this->planner.has_open_wave()) {
+    if (this->planner.has_unfinished_wave()) {
         for (const maintenance::wave_step& step :
              this->planner.plan(this->maintenance_view(), now)) {
             this->execute(step, now);
@@ -528,6 +528,9 @@
     case kind::start_maintenance:
         this->order_maintenance(step);
         break;
+    case kind::save_progress:
+        this->save_progress(step.wave, false);
+        break;
     case kind::report_running:
     case kind::report_completed:
         this->report(step);
--- a/src/maintenance/tests/wave_planner_tests.cpp
+++ b/src/maintenance/tests/wave_planner_tests.cpp
@@ -238,4 +238,141 @@
     cr_assert(vms_with_step(later, kind::report_completed).empty(), "all lists but one show it");
 }
 
+/// A wave of "a" alone whose order was sent at 100 ms and got no response.
+wave_planner planner_with_unanswered_order()
+{
+    wave_planner planner(wave_options{});
+    planner.update_waves({{1, {"a"}, milliseconds(20000), 1}}, at(0));
+    planner.plan(idle_vms(0), at(0));
+    planner.on_report_response(1, false, true);
+    cr_assert(vms_with_step(planner.plan(idle_vms(100), at(100)), kind::start_maintenance).size() ==
+              1);
+    planner.on_order_response(1, "a", outcome::unknown, at(1600));
+    return planner;
+}
+
+std::map<std::string, vm_snapshot> vms_with_a_under_maintenance(std::int64_t read_ms)
+{
+    auto vms = idle_vms(read_ms);
+    vms["a"].up = false;
+    vms["a"].under_maintenance = true;
+    return vms;
+}
+
+// Rule LOST, review/7: the VM was drained once more, and its wave completed before it was released.
+Test(wave_planner, a_vm_is_undrained_although_its_wave_has_been_reported_as_completed)
+{
+    // given: the repeated order is accepted, as the first one was carried out
+    wave_planner planner = planner_with_unanswered_order();
+    cr_assert(
+        vms_with_step(planner.plan(idle_vms(2000), at(2000)), kind::start_maintenance).size() == 1);
+    planner.on_order_response(1, "a", outcome::accepted, at(2010));
+    cr_assert(
+        vms_with_step(planner.plan(idle_vms(2100), at(2100)), kind::report_completed).size() == 1);
+    planner.on_report_response(1, true, true);
+
+    // when
+    cr_assert(planner.has_unfinished_wave());
+    cr_assert(planner.is_draining_or_down("a"));
+    const auto steps = planner.plan(idle_vms(5000), at(5000));
+
+    // then
+    cr_assert(vms_with_step(steps, kind::undrain_vm) == std::vector<std::string>{"a"});
+    cr_assert_not(planner.has_unfinished_wave());
+    cr_assert_not(planner.is_draining_or_down("a"));
+}
+
+// Rule LOST, review/7: the tasks of the serviced VM were stopped for an order that had been carried
+// out.
+Test(wave_planner, a_vm_that_the_list_shows_under_maintenance_is_not_drained_again)
+{
+    // given
+    wave_planner planner = planner_with_unanswered_order();
+
+    // when
+    const auto steps = planner.plan(vms_with_a_under_maintenance(1700), at(1800));
+    const auto later_steps = planner.plan(idle_vms(4500), at(4500));
+
+    // then
+    cr_assert(vms_with_step(steps, kind::save_progress).size() == 1);
+    cr_assert(vms_with_step(later_steps, kind::drain_vm).empty());
+    cr_assert(vms_with_step(later_steps, kind::start_maintenance).empty());
+    cr_assert(vms_with_step(later_steps, kind::undrain_vm).size() == 1);
+}
+
+Test(wave_planner, a_late_response_does_not_undo_what_the_list_has_shown)
+{
+    for (const outcome late : {outcome::unknown, outcome::try_later}) {
+        // given: the list shows the effect of an order before its response
+        wave_planner planner(wave_options{});
+        planner.update_waves({{1, {"a"}, milliseconds(20000), 1}}, at(0));
+        planner.plan(idle_vms(0), at(0));
+        planner.plan(idle_vms(100), at(100));
+        planner.plan(vms_with_a_under_maintenance(500), at(600));
+
+        // when
+        planner.on_order_response(1, "a", late, at(1600));
+
+        // then
+        const auto steps = planner.plan(idle_vms(4000), at(4000));
+        cr_assert(vms_with_step(steps, kind::drain_vm).empty());
+        cr_assert(vms_with_step(steps, kind::undrain_vm).size() == 1);
+    }
+}
+
+// The order of an earlier owner that ended before the response.
+Test(wave_planner, the_list_tells_a_later_owner_of_an_order_that_is_not_in_the_store)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.update_waves({{1, {"a"}, milliseconds(20000), 1}}, at(0));
+
+    // when
+    planner.plan(vms_with_a_under_maintenance(0), at(100));
+    const auto steps = planner.plan(idle_vms(3000), at(3000));
+
+    // then
+    cr_assert(vms_with_step(steps, kind::drain_vm).empty());
+    cr_assert(planner.started_vms(1).contains("a"));
+}
+
+// Rule MIXED: the maintenance may be that of the other wave.
+Test(wave_planner, the_maintenance_of_a_vm_in_two_open_waves_is_taken_for_neither)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.update_waves({{1, {"a"}, milliseconds(20000), 1}, {2, {"a"}, milliseconds(20000), 1}},
+                         at(0));
+
+    // when
+    planner.plan(vms_with_a_under_maintenance(0), at(100));
+
+    // then
+    cr_assert(planner.started_vms(1).empty());
+    cr_assert(planner.started_vms(2).empty());
+}
+
+Test(wave_planner, a_drained_vm_that_the_list_misses_does_not_stay_drained)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.update_waves({{1, {"a"}, milliseconds(20000), 1}}, at(0));
+    auto vms = idle_vms(0);
+    vms["a"].long_running = 1;
+    planner.plan(vms, at(0));
+
+    // when
+    vms = idle_vms(1000);
+    vms.erase("a");
+    planner.plan(vms, at(1000));
+    for (auto& [name, vm] : vms) {
+        vm.list_requested_at = at(6000);
+    }
+    planner.plan(vms, at(6000));
+    const auto steps = planner.plan(vms, at(6100));
+
+    // then
+    cr_assert(vms_with_step(steps, kind::undrain_vm).size() == 1);
+}
+
 } // namespace
--- a/src/maintenance/wave_planner.cpp
+++ b/src/maintenance/wave_planner.cpp
@@ -42,7 +42,8 @@
         for (const std::string& vm : each.vms) {
             found->second.vms[vm].since = now;
             if (before.started.contains(vm)) {
-                found->second.vms[vm].phase = vm_phase::down;
+                found->second.vms[vm].phase =
+                    before.completed ? vm_phase::finished : vm_phase::down;
             }
         }
     }
@@ -53,10 +54,32 @@
     this->restored[wave] = {std::move(started), completed};
 }
 
-bool wave_planner::has_open_wave() const
+bool wave_planner::is_withheld(const vm_progress& vm)
+{
+    return vm.needs_undrain || vm.phase == vm_phase::draining || vm.phase == vm_phase::ordered ||
+           vm.phase == vm_phase::down;
+}
+
+bool wave_planner::is_unfinished(const wave_progress& wave)
+{
+    return !wave.completed_reported ||
+           std::any_of(wave.vms.begin(), wave.vms.end(),
+                       [](const auto& each) { return is_withheld(each.second); });
+}
+
+bool wave_planner::has_unfinished_wave() const
 {
     return std::any_of(this->waves.begin(), this->waves.end(),
-                       [](const auto& each) { return !each.second.completed_reported; });
+                       [](const auto& each) { return is_unfinished(each.second); });
+}
+
+bool wave_planner::may_be_for_another_wave(std::int64_t wave, const std::string& vm) const
+{
+    return std::any_of(this->waves.begin(), this->waves.end(), [&](const auto& each) {
+        const auto found = each.second.vms.find(vm);
+        return each.first != wave && found != each.second.vms.end() &&
+               found->second.phase != vm_phase::finished;
+    });
 }
 
 std::set<std::string> wave_planner::started_vms(std::int64_t wave) const
@@ -79,9 +102,13 @@
 {
     std::vector<wave_step> steps;
     for (auto& [number, wave] : this->waves) {
+        if (!is_unfinished(wave)) {
+            continue;
+        }
+        undrain_released(wave, steps);
+        this->update_from_list(wave, vms, now, steps);
+        // A completed wave only releases its VMs.
         if (!wave.completed_reported) {
-            undrain_released(wave, steps);
-            this->update_from_list(wave, vms, now, steps);
             this->plan_wave(wave, vms, now, steps);
         }
     }
@@ -102,7 +129,7 @@
 {
     vm.missing_since = vm.missing_since.value_or(list_requested_at);
     if (vm.phase != vm_phase::finished && list_requested_at - *vm.missing_since > missing_timeout) {
-        vm = {vm_phase::excluded, now, {}, false, false, vm.missing_since};
+        vm = {vm_phase::excluded, now, {}, false, is_withheld(vm), vm.missing_since};
     }
 }
 
@@ -121,6 +148,16 @@
             continue;
         }
         vm.missing_since.reset();
+        // The list tells of an order without an answer, also of an earlier owner's.
+        const bool is_expected =
+            !wave.completed_reported && vm.phase != vm_phase::down &&
+            vm.phase != vm_phase::finished &&
+            (vm.phase != vm_phase::ordered || listed->second.list_requested_at > vm.since);
+        if (listed->second.under_maintenance && is_expected &&
+            !this->may_be_for_another_wave(wave.request.number, name)) {
+            vm = {vm_phase::down, now, {}, false, false, {}};
+            steps.push_back({wave_step::kind::save_progress, wave.request.number, {}});
+        }
         const bool maintenance_over =
             now - vm.since >= this->options.maintenance_time &&
             listed->second.list_requested_at >
@@ -132,6 +169,9 @@
             // maintenance before.
             steps.push_back({wave_step::kind::undrain_vm, wave.request.number, name});
         }
+        if (wave.completed_reported) {
+            continue;
+        }
         if (vm.phase == vm_phase::excluded ||
             (vm.phase == vm_phase::rejected && now >= vm.retry_at)) {
             vm = {vm_phase::waiting, now, {}, false, false, {}};
@@ -214,6 +254,9 @@
         return;
     }
     vm_progress& progress = found->second.vms[vm];
+    if (progress.phase == vm_phase::down && outcome != order_outcome::permanently_rejected) {
+        return; // the VM list has shown that the order was carried out
+    }
     switch (outcome) {
     case order_outcome::accepted:
         progress = {vm_phase::down, now, {}, false, false, {}};
@@ -249,9 +292,7 @@
 {
     return std::any_of(this->waves.begin(), this->waves.end(), [&vm](const auto& each) {
         const auto found = each.second.vms.find(vm);
-        return found != each.second.vms.end() && !each.second.completed_reported &&
-               (found->second.phase == vm_phase::draining ||
-                found->second.phase == vm_phase::ordered || found->second.phase == vm_phase::down);
+        return found != each.second.vms.end() && is_withheld(found->second);
     });
 }
 
--- a/src/maintenance/wave_planner.h
+++ b/src/maintenance/wave_planner.h
@@ -53,12 +53,13 @@
         drain_vm,          ///< place no new work and move long-running tasks as their budgets allow
         undrain_vm,        ///< accept new work again
         start_maintenance, ///< order the maintenance
+        save_progress,     ///< record that the maintenance of one more VM has started
         report_running,
         report_completed,
     };
     kind what{};
     std::int64_t wave = 0;
-    std::string vm; ///< empty for reports
+    std::string vm; ///< empty for reports and `save_progress`
 
     friend bool operator==(const wave_step&, const wave_step&) = default;
 };
@@ -79,8 +80,9 @@
     std::vector<wave_step> plan(const std::map<std::string, vm_snapshot>& vms,
                                 common::steady_time now);
 
-    /// Handles the response to an order. After a permanent rejection the VM is undrained, and
-    /// considered again later if the list still shows it.
+    /// Handles the response to an order, unless the VM list has shown its effect before. After a
+    /// permanent rejection the VM is undrained, and considered again later if the list still shows
+    /// it.
     enum class order_outcome { accepted, permanently_rejected, try_later, unknown };
     void on_order_response(std::int64_t wave, const std::string& vm, order_outcome outcome,
                            common::steady_time now);
@@ -88,8 +90,8 @@
     /// Handles the response to a report; a report that was not written is repeated.
     void on_report_response(std::int64_t wave, bool completed, bool written);
 
-    /// Tells whether a wave has not been reported as completed yet.
-    [[nodiscard]] bool has_open_wave() const;
+    /// Tells whether a wave has not been reported as completed yet, or withholds VMs.
+    [[nodiscard]] bool has_unfinished_wave() const;
 
     /// Returns the VMs of a wave whose maintenance has started or finished.
     [[nodiscard]] std::set<std::string> started_vms(std::int64_t wave) const;
@@ -119,6 +121,9 @@
         bool report_in_flight = false;
     };
 
+    [[nodiscard]] static bool is_withheld(const vm_progress& vm);
+    [[nodiscard]] static bool is_unfinished(const wave_progress& wave);
+    [[nodiscard]] bool may_be_for_another_wave(std::int64_t wave, const std::string& vm) const;
     static void undrain_released(wave_progress& wave, std::vector<wave_step>& steps);
     static void update_missing(vm_progress& vm, common::steady_time list_requested_at,
                                common::steady_time now);
