--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -489,6 +489,17 @@
         });
 }
 
+std::map<std::string_view, std::string_view> fleet_controller::listed_workers() const
+{
+    std::map<std::string_view, std::string_view> vms_by_worker;
+    for (const fleet::fleet_vm& vm : this->vms) {
+        if (!vm.worker.empty()) {
+            vms_by_worker[vm.worker] = vm.name;
+        }
+    }
+    return vms_by_worker;
+}
+
 std::map<std::string, maintenance::vm_snapshot> fleet_controller::maintenance_view() const
 {
     std::map<std::string, maintenance::vm_snapshot> snapshots;
@@ -498,8 +509,16 @@
         snapshot.under_maintenance = vm.state == fleet::vm_state::maintenance;
         snapshot.list_requested_at = this->vm_list_requested_at;
     }
+    const std::map<std::string_view, std::string_view> vms_by_worker = this->listed_workers();
     for (const auto& [id, worker] : this->dependencies.scheduler.all_workers()) {
-        const auto found = snapshots.find(worker.entry.vm);
+        std::string_view vm = worker.entry.vm;
+        // Entries may be missing for seconds after an outage of the store. Of their workers the
+        // journal names the runs, and the VM list the VMs.
+        if (const auto listed = vms_by_worker.find(id);
+            vm.empty() && listed != vms_by_worker.end()) {
+            vm = listed->second;
+        }
+        const auto found = snapshots.find(std::string(vm));
         if (found == snapshots.end()) {
             continue;
         }
--- a/src/daemon/fleet_controller.h
+++ b/src/daemon/fleet_controller.h
@@ -105,6 +105,8 @@
     void cordon_vm(const std::string& vm, bool cordoned);
     [[nodiscard]] std::map<std::string, fleet::pool_vm> pool_view() const;
     void report(const maintenance::wave_step& step);
+    /// Returns the VMs of the latest list by the ids of their workers.
+    [[nodiscard]] std::map<std::string_view, std::string_view> listed_workers() const;
     [[nodiscard]] std::map<std::string, maintenance::vm_snapshot> maintenance_view() const;
 
     fleet_controller_dependencies dependencies;
--- a/src/daemon/tests/fleet_controller_tests.cpp
+++ b/src/daemon/tests/fleet_controller_tests.cpp
@@ -74,9 +74,10 @@
         }
     }
 
-    void start_maintenance(const std::string&, std::int64_t, const fleet::order_fence&,
+    void start_maintenance(const std::string& vm, std::int64_t, const fleet::order_fence&,
                            std::function<void(vm_order_outcome)> done) override
     {
+        this->maintained.push_back(vm);
         done(vm_order_outcome::accepted);
     }
 
@@ -91,6 +92,7 @@
 
     std::vector<fleet::fleet_vm> vms;
     std::vector<fleet::vm_move> moves;
+    std::vector<std::string> maintained;
     bool is_listing = true;
     bool is_slow = false;
     std::function<void(vm_order_outcome)> held; ///< of the latest move
@@ -99,9 +101,11 @@
 
 /// A pool "main" of one idle worker, and a VM in the standby pool "parked".
 struct controlled_fleet {
-    /// `previous_holder` is its record in the store; empty: there was none.
-    explicit controlled_fleet(const std::string& previous_holder = {})
-        : fixture({make_worker("w1")})
+    /// `previous_holder` is its record in the store; empty: there was none. `stored` are the jobs
+    /// of earlier owners.
+    explicit controlled_fleet(const std::string& previous_holder = {},
+                              std::vector<scheduling::stored_job> stored = {})
+        : fixture({make_worker("w1")}, std::move(stored))
     {
         if (!previous_holder.empty()) {
             cr_assert(
@@ -381,3 +385,32 @@
         cr_assert(fleet.machines.has_moved("vm-spare", "main") == (spare_zone == "b"));
     }
 }
+
+// Rule AVAIL, review/8: a worker without an entry was taken for one without runs.
+Test(fleet_controller,
+     a_vm_whose_worker_is_missing_after_an_outage_is_not_ordered_while_it_has_runs)
+{
+    // given: an earlier owner's run on "w9", whose entry has run out, and a wave of its VM
+    jobs::job job = make_job("j1");
+    job.steps[0].long_running = true;
+    scheduling::job_progress progress = scheduling::initial_progress(job);
+    progress.tasks[0][0][0] = {scheduling::task_progress::phase::open, 1, 0, {"w9", 1}, {}};
+    controlled_fleet fleet({}, {{job, progress, false}});
+    fleet::fleet_vm listed = fleet.machines.vms.front();
+    listed.name = "vm-w9";
+    listed.worker = "w9";
+    fleet.machines.vms.push_back(listed);
+    fleet.controller->set_waves({{7, {"vm-w9"}, std::chrono::seconds(20), 1}});
+
+    // when
+    fleet.run_until(3000);
+
+    // then
+    cr_assert(fleet.machines.maintained.empty());
+
+    // when: the leases of the earlier owner have ended
+    fleet.run_until(8000);
+
+    // then
+    cr_assert(fleet.machines.maintained == std::vector<std::string>{"vm-w9"});
+}
