--- a/src/daemon/closed_job.h
+++ b/src/daemon/closed_job.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "jobs/job.h"
+#include "jobs/job_scope.h"
 
 namespace chervilslip::daemon {
 
@@ -15,6 +16,15 @@
     /// Cancelled before its submission was stored: the entry keeps a late submission from taking
     /// effect. Earlier versions read such an entry as that of a cancelled job.
     bool withdrawn = false;
+    /// Whose job it was; unset in entries of earlier versions.
+    std::optional<jobs::job_scope> scope;
+
+    /// Returns whether the job exists for a caller.
+    [[nodiscard]] bool is_visible_to(const jobs::job_scope& caller) const
+    {
+        return !this->scope || caller.contains(this->scope->queue, this->scope->team.value_or(
+                                                                       caller.team.value_or("")));
+    }
 
     friend bool operator==(const closed_job&, const closed_job&) = default;
 };
@@ -28,6 +38,7 @@
 inline std::string encode_closed_job(const closed_job& value)
 {
     return std::to_string(static_cast<int>(value.state)) + " " + std::to_string(value.closed_ms) +
+           (value.scope ? " " + jobs::encode_scope(*value.scope) : std::string()) +
            std::string(value.withdrawn ? detail::withdrawn_suffix : std::string_view{});
 }
 
@@ -47,6 +58,12 @@
         std::from_chars(read.ptr + 1, end, value.closed_ms);
     }
     value.withdrawn = text.ends_with(detail::withdrawn_suffix);
+    const std::size_t scope_begin = text.find('[');
+    if (scope_begin != std::string::npos) {
+        const std::size_t suffix = value.withdrawn ? detail::withdrawn_suffix.size() : 0;
+        value.scope =
+            jobs::decode_scope(text.substr(scope_begin, text.size() - suffix - scope_begin));
+    }
     return value;
 }
 
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -326,7 +326,9 @@
     } else if (target.path.starts_with(cancel_target)) {
         this->owner_host.handle_cancel(target.path.substr(cancel_target.size()), target.revision);
     } else if (call.target.starts_with(state_target)) {
-        const auto state = scheduler->state_of(call.target.substr(state_target.size()));
+        const std::string id = call.target.substr(state_target.size());
+        const auto caller = jobs::decode_scope(call.body); // none from earlier versions
+        const auto state = caller ? scheduler->state_of(id, *caller) : scheduler->state_of(id);
         reply.status = state ? net::status_ok : net::status_not_found;
         if (state) {
             reply.body = std::to_string(static_cast<int>(*state));
@@ -382,16 +384,17 @@
     });
 }
 
-void fleet_node::query_state(const std::string& id,
+void fleet_node::query_state(const std::string& id, const jobs::job_scope& caller,
                              store::handler<std::optional<jobs::job_state>> done)
 {
     if (scheduling::scheduler* scheduler = this->owner_host.active_scheduler()) {
-        done(scheduler->state_of(id));
+        done(scheduler->state_of(id, caller));
         return;
     }
     membership::relay_call call;
     call.method = "GET";
     call.target = make_target(state_target, id);
+    call.body = jobs::encode_scope(caller);
     this->call_owner(std::move(call), [done = std::move(done)](
                                           common::result<membership::relay_response> answer) {
         if (!answer) {
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -102,7 +102,7 @@
 
     void notify_job(const jobs::job& accepted, std::int64_t revision) override;
     void notify_cancel(const std::string& id, std::int64_t revision) override;
-    void query_state(const std::string& id,
+    void query_state(const std::string& id, const jobs::job_scope& caller,
                      store::handler<std::optional<jobs::job_state>> done) override;
     void query_waiting(const std::string& queue, store::handler<std::int64_t> done) override;
 
--- a/src/daemon/job_frontend.cpp
+++ b/src/daemon/job_frontend.cpp
@@ -82,10 +82,14 @@
         this->queue.pop_front();
         const std::string key = store_keys::make_key(store_keys::jobs, each.job.id);
         changes.expected.push_back({key, 0});
-        changes.expected.push_back({store_keys::make_key(store_keys::closed, each.job.id), 0});
+        const std::string closed_key = store_keys::make_key(store_keys::closed, each.job.id);
+        changes.expected.push_back({closed_key, each.foreign_withdrawal});
         each.shed = this->is_shed(each.job);
         if (!each.shed) {
             changes.set.push_back({key, each.encoded, 0});
+            if (each.foreign_withdrawal != 0) {
+                changes.remove.push_back(closed_key);
+            }
         }
         any_shed = any_shed || each.shed;
         ++each.attempts;
@@ -209,6 +213,16 @@
         } else if (closed != present.end()) {
             const auto stored = parse_closed_job(closed->second->value);
             const bool withdrawn = stored && stored->withdrawn;
+            if (stored && !stored->is_visible_to({each.job.queue, each.job.team})) {
+                if (!withdrawn) {
+                    this->complete(each, job_call_result::conflict);
+                    continue;
+                }
+                each.foreign_withdrawal = closed->second->revision;
+                --each.attempts;
+                this->queue.push_front(std::move(each));
+                continue;
+            }
             each.failure = withdrawn ? "cancelled before it was stored" : "";
             this->complete(each,
                            withdrawn ? job_call_result::withdrawn : job_call_result::accepted);
@@ -254,7 +268,8 @@
     each.done(call_result);
 }
 
-void job_frontend::cancel(const std::string& id, std::function<void(job_call_result)> done)
+void job_frontend::cancel(const std::string& id, const jobs::job_scope& caller,
+                          std::function<void(job_call_result)> done)
 {
     ++this->open_call_count;
     auto finish = [this, done = std::move(done)](job_call_result call_result) {
@@ -262,31 +277,47 @@
         done(call_result);
     };
     const std::string key = store_keys::make_key(store_keys::jobs, id);
-    this->store.read(key, [this, id, finish = std::move(finish)](
+    this->store.read(key, [this, id, caller, finish = std::move(finish)](
                               common::result<std::optional<store::item>> read) {
         if (!read) {
             finish(job_call_result::rejected);
         } else if (read.value()) {
-            this->store_cancellation(id, read.value()->revision, finish);
+            this->cancel_stored(*read.value(), id, caller, finish);
         } else {
-            this->cancel_unless_closed(id, finish);
+            this->cancel_unless_closed(id, caller, finish);
         }
     });
 }
 
-void job_frontend::cancel_unless_closed(const std::string& id, call_result_handler done)
+void job_frontend::cancel_stored(const store::item& stored, const std::string& id,
+                                 const jobs::job_scope& caller, call_result_handler done)
 {
-    this->read_closed(
-        id, [this, id, done = std::move(done)](common::result<std::optional<closed_job>> read) {
-            if (!read) {
-                done(job_call_result::rejected);
-            } else if (read.value()) {
-                done(read.value()->withdrawn ? job_call_result::no_such_job
-                                             : job_call_result::accepted);
-            } else {
-                this->withdraw(id, done);
-            }
-        });
+    const auto job = jobs::decode_job(stored.value, stored.key);
+    if (job && !caller.contains(job.value().queue, job.value().team)) {
+        done(job_call_result::no_such_job);
+        return;
+    }
+    this->store_cancellation(id, stored.revision, std::move(done));
+}
+
+void job_frontend::cancel_unless_closed(const std::string& id, const jobs::job_scope& caller,
+                                        call_result_handler done)
+{
+    this->read_closed(id, [this, id, caller, done = std::move(done)](
+                              common::result<std::optional<stored_closed_job>> read) {
+        if (!read) {
+            done(job_call_result::rejected);
+        } else if (!read.value()) {
+            this->withdraw(id, caller, 0, done);
+        } else if (read.value()->entry.is_visible_to(caller)) {
+            done(read.value()->entry.withdrawn ? job_call_result::no_such_job
+                                               : job_call_result::accepted);
+        } else if (read.value()->entry.withdrawn) {
+            this->withdraw(id, caller, read.value()->revision, done);
+        } else {
+            done(job_call_result::no_such_job);
+        }
+    });
 }
 
 void job_frontend::store_cancellation(const std::string& id, std::int64_t job_revision,
@@ -310,19 +341,20 @@
         });
 }
 
-void job_frontend::withdraw(const std::string& id, call_result_handler done)
+void job_frontend::withdraw(const std::string& id, const jobs::job_scope& caller,
+                            std::int64_t foreign_withdrawal, call_result_handler done)
 {
     // A write of the submission that got no response may still be executed seconds later, so its
     // condition is made to fail.
     const std::string job_key = store_keys::make_key(store_keys::jobs, id);
     const std::string closed_key = store_keys::make_key(store_keys::closed, id);
     const closed_job entry{jobs::job_state::cancelled,
-                           common::unix_milliseconds(this->clock.wall_now()), true};
+                           common::unix_milliseconds(this->clock.wall_now()), true, caller};
     store::transaction changes;
     changes.expected.push_back({job_key, 0});
-    changes.expected.push_back({closed_key, 0});
+    changes.expected.push_back({closed_key, foreign_withdrawal});
     changes.set.push_back({closed_key, encode_closed_job(entry), 0});
-    this->store.commit(changes, [this, id, job_key, done = std::move(done)](
+    this->store.commit(changes, [this, id, caller, job_key, done = std::move(done)](
                                     common::result<store::commit_outcome> outcome) {
         if (!outcome) {
             done(outcome.error().may_have_been_done() ? job_call_result::unknown
@@ -335,49 +367,59 @@
         }
         for (const store::item& each : outcome.value().current) {
             if (each.key == job_key && each.revision != 0) {
-                this->store_cancellation(id, each.revision, done); // submitted in the meantime
+                this->cancel_stored(each, id, caller, done); // submitted in the meantime
                 return;
             }
         }
-        this->cancel_unless_closed(id, done);
+        this->cancel_unless_closed(id, caller, done);
     });
 }
 
-void job_frontend::state(const std::string& id, store::handler<std::optional<jobs::job_state>> done)
+void job_frontend::state(const std::string& id, const jobs::job_scope& caller,
+                         store::handler<std::optional<jobs::job_state>> done)
 {
-    this->owner.query_state(id, [this, id, done = std::move(done)](
-                                    common::result<std::optional<jobs::job_state>> answer) mutable {
-        if (answer.has_value() && answer.value()) {
-            done(std::move(answer));
-            return;
-        }
-        // The owner may not know a new job yet, or there may be no owner at present.
-        this->read_state(id, std::move(done));
-    });
+    this->owner.query_state(id, caller,
+                            [this, id, caller, done = std::move(done)](
+                                common::result<std::optional<jobs::job_state>> answer) mutable {
+                                if (answer.has_value() && answer.value()) {
+                                    done(std::move(answer));
+                                    return;
+                                }
+                                // The owner may not know a new job yet, or there may be no owner at
+                                // present.
+                                this->read_state(id, caller, std::move(done));
+                            });
 }
 
-void job_frontend::read_state(const std::string& id,
+void job_frontend::read_state(const std::string& id, const jobs::job_scope& caller,
                               store::handler<std::optional<jobs::job_state>> done)
 {
     // The job's own entry is read before the closed one, so that a job which is closed between
     // these reads is found by the second.
     this->store.read(
         store_keys::make_key(store_keys::jobs, id),
-        [this, id, done = std::move(done)](common::result<std::optional<store::item>> job) mutable {
+        [this, id, caller,
+         done = std::move(done)](common::result<std::optional<store::item>> job) mutable {
             if (!job) {
                 done(job.error());
                 return;
             }
             if (!job.value()) {
-                this->read_closed(
-                    id, [done = std::move(done)](common::result<std::optional<closed_job>> closed) {
-                        if (!closed) {
-                            done(closed.error());
-                            return;
-                        }
-                        const bool known = closed.value() && !closed.value()->withdrawn;
-                        done(known ? std::optional(closed.value()->state) : std::nullopt);
-                    });
+                this->read_closed(id, [caller, done = std::move(done)](
+                                          common::result<std::optional<stored_closed_job>> closed) {
+                    if (!closed) {
+                        done(closed.error());
+                        return;
+                    }
+                    const bool known = closed.value() && !closed.value()->entry.withdrawn &&
+                                       closed.value()->entry.is_visible_to(caller);
+                    done(known ? std::optional(closed.value()->entry.state) : std::nullopt);
+                });
+                return;
+            }
+            const auto stored = jobs::decode_job(job.value()->value, job.value()->key);
+            if (stored && !caller.contains(stored.value().queue, stored.value().team)) {
+                done(std::optional<jobs::job_state>{});
                 return;
             }
             this->store.read(
@@ -402,7 +444,7 @@
 }
 
 void job_frontend::read_closed(const std::string& id,
-                               store::handler<std::optional<closed_job>> done)
+                               store::handler<std::optional<stored_closed_job>> done)
 {
     this->store.read(
         store_keys::make_key(store_keys::closed, id),
@@ -412,7 +454,7 @@
                 return;
             }
             if (!read.value()) {
-                done(std::optional<closed_job>{});
+                done(std::optional<stored_closed_job>{});
                 return;
             }
             const auto entry = parse_closed_job(read.value()->value);
@@ -420,7 +462,7 @@
                 done(make_error(errc::bad_message, "read closed job", id, "not a valid job state"));
                 return;
             }
-            done(entry);
+            done(std::optional(stored_closed_job{*entry, read.value()->revision}));
         });
 }
 
--- a/src/daemon/job_frontend.h
+++ b/src/daemon/job_frontend.h
@@ -41,9 +41,9 @@
     virtual void notify_job(const jobs::job& accepted, std::int64_t revision) = 0;
     virtual void notify_cancel(const std::string& id, std::int64_t revision) = 0;
 
-    /// Queries the owner for a job's state; empty when the owner does not know the job. Fails when
-    /// no owner responds.
-    virtual void query_state(const std::string& id,
+    /// Queries the owner for a job's state; empty when the owner does not know such a job of the
+    /// caller. Fails when no owner responds.
+    virtual void query_state(const std::string& id, const jobs::job_scope& caller,
                              store::handler<std::optional<jobs::job_state>> done) = 0;
 
     /// Queries the owner for the number of waiting jobs of a queue.
@@ -74,13 +74,15 @@
     /// Persists a job. Precondition: the job has been validated.
     void submit(jobs::job submitted, std::function<void(job_call_result)> done);
 
-    /// Persists the cancellation of a job. If there is no such job, a submission that is still
-    /// under way is kept from taking effect.
-    void cancel(const std::string& id, std::function<void(job_call_result)> done);
+    /// Persists the cancellation of a job. If there is no such job of the caller, its submission
+    /// that is still under way is kept from taking effect.
+    void cancel(const std::string& id, const jobs::job_scope& caller,
+                std::function<void(job_call_result)> done);
 
-    /// Looks up a job's state; empty when there is no such job. Fails when the state cannot be
-    /// determined now.
-    void state(const std::string& id, store::handler<std::optional<jobs::job_state>> done);
+    /// Looks up a job's state; empty when there is no such job of the caller. Fails when the state
+    /// cannot be determined now.
+    void state(const std::string& id, const jobs::job_scope& caller,
+               store::handler<std::optional<jobs::job_state>> done);
 
     /// Looks up how many jobs of a queue are waiting for their first start.
     void waiting(const std::string& queue, store::handler<std::int64_t> done);
@@ -101,6 +103,8 @@
         std::function<void(job_call_result)> done;
         int attempts = 0;
         bool shed = false; ///< to be refused because the owner is overloaded
+        /// Revision of an entry by which another caller has withdrawn a job of this ID; 0: none.
+        std::int64_t foreign_withdrawal = 0;
         common::steady_time received_at;
         std::string failure; ///< of the latest write
     };
@@ -115,12 +119,23 @@
     void observe_admission(const std::map<std::string, const store::item*>& present,
                            bool claim_was_expected);
     void complete(pending_job& each, job_call_result call_result);
-    void read_state(const std::string& id, store::handler<std::optional<jobs::job_state>> done);
-    void read_closed(const std::string& id, store::handler<std::optional<closed_job>> done);
-    void cancel_unless_closed(const std::string& id, call_result_handler done);
+    /// What the store has of a closed job.
+    struct stored_closed_job {
+        closed_job entry;
+        std::int64_t revision = 0;
+    };
+
+    void read_state(const std::string& id, const jobs::job_scope& caller,
+                    store::handler<std::optional<jobs::job_state>> done);
+    void read_closed(const std::string& id, store::handler<std::optional<stored_closed_job>> done);
+    void cancel_unless_closed(const std::string& id, const jobs::job_scope& caller,
+                              call_result_handler done);
     void store_cancellation(const std::string& id, std::int64_t job_revision,
                             call_result_handler done);
-    void withdraw(const std::string& id, call_result_handler done);
+    void cancel_stored(const store::item& stored, const std::string& id,
+                       const jobs::job_scope& caller, call_result_handler done);
+    void withdraw(const std::string& id, const jobs::job_scope& caller,
+                  std::int64_t foreign_withdrawal, call_result_handler done);
 
     store::transactional_store& store;
     owner_client& owner;
--- a/src/daemon/scheduler_host_actions.cpp
+++ b/src/daemon/scheduler_host_actions.cpp
@@ -218,7 +218,9 @@
             continue;
         }
         changes.set.push_back({store_keys::make_key(store_keys::closed, each.job),
-                               encode_closed_job({each.state, this->unix_ms(), false}), 0});
+                               encode_closed_job({each.state, this->unix_ms(), false,
+                                                  jobs::job_scope{each.queue, each.team}}),
+                               0});
         changes.remove.push_back(store_keys::make_key(store_keys::jobs, each.job));
         changes.remove.push_back(store_keys::make_key(store_keys::cancels, each.job));
         changes.remove.push_back(progress_key);
--- a/src/daemon/tests/job_frontend_tests.cpp
+++ b/src/daemon/tests/job_frontend_tests.cpp
@@ -82,7 +82,7 @@
         this->notified_revision = revision;
     }
 
-    void query_state(const std::string&,
+    void query_state(const std::string&, const jobs::job_scope&,
                      store::handler<std::optional<jobs::job_state>> done) override
     {
         done(std::optional<jobs::job_state>{}); // a job that the owner does not know
@@ -96,6 +96,8 @@
     std::int64_t notified_revision = 0; ///< of the latest notification
 };
 
+const jobs::job_scope fire_permits{"permits", "fire"};
+
 struct frontend_fixture {
     fake_store store;
     fake_owner_client owner;
@@ -132,21 +134,24 @@
         return call_result;
     }
 
-    job_call_result cancel_job(const std::string& id)
+    job_call_result cancel_job(const std::string& id, const jobs::job_scope& caller = fire_permits)
     {
         std::optional<job_call_result> got;
-        this->frontend.cancel(id, [&got](job_call_result call_result) { got = call_result; });
+        this->frontend.cancel(id, caller,
+                              [&got](job_call_result call_result) { got = call_result; });
         cr_assert(got.has_value());
         return *got;
     }
 
-    std::optional<jobs::job_state> state_of(const std::string& id)
+    std::optional<jobs::job_state> state_of(const std::string& id,
+                                            const jobs::job_scope& caller = fire_permits)
     {
         std::optional<jobs::job_state> state;
-        this->frontend.state(id, [&state](common::result<std::optional<jobs::job_state>> got) {
-            cr_assert(got.has_value());
-            state = got.value();
-        });
+        this->frontend.state(id, caller,
+                             [&state](common::result<std::optional<jobs::job_state>> got) {
+                                 cr_assert(got.has_value());
+                                 state = got.value();
+                             });
         return state;
     }
 
@@ -174,7 +179,7 @@
     // when, then
     cr_assert(fixture.submit_job("j1") == job_call_result::accepted);
     cr_assert(fixture.owner.notified_revision == fixture.store.items.revision());
-    fixture.frontend.cancel("j1", [](job_call_result) {});
+    fixture.frontend.cancel("j1", fire_permits, [](job_call_result) {});
     cr_assert(fixture.owner.notified_revision == fixture.store.items.revision());
 }
 
@@ -314,7 +319,8 @@
     frontend_fixture fixture;
     fixture.store.withhold_responses = true;
     std::optional<job_call_result> got;
-    fixture.frontend.cancel("j1", [&got](job_call_result call_result) { got = call_result; });
+    fixture.frontend.cancel("j1", fire_permits,
+                            [&got](job_call_result call_result) { got = call_result; });
 
     // when
     fixture.store.unanswered.at(0)(
@@ -324,11 +330,83 @@
     cr_assert(got == job_call_result::unknown);
 }
 
+// Rules LOST and MIXED, review/9: a client of another team saw and cancelled a job by its ID.
+Test(job_frontend, a_job_does_not_exist_for_another_team_or_queue)
+{
+    for (const jobs::job_scope& other :
+         {jobs::job_scope{"permits", "police"}, jobs::job_scope{"alarms", "fire"}}) {
+        // given
+        frontend_fixture fixture;
+        cr_assert(fixture.submit_job("j1") == job_call_result::accepted);
+
+        // when, then
+        cr_assert(!fixture.state_of("j1", other));
+        cr_assert(fixture.cancel_job("j1", other) == job_call_result::no_such_job);
+        cr_assert(!fixture.store.items.read("chervilslip/in/cancel/j1").has_value());
+        cr_assert(fixture.state_of("j1") == jobs::job_state::pending);
+
+        // given: it has been closed
+        const daemon::closed_job entry{jobs::job_state::completed, 17, false, fire_permits};
+        cr_assert(fixture.store.items
+                      .commit({{},
+                               {{"chervilslip/closed/j1", daemon::encode_closed_job(entry), 0}},
+                               {"chervilslip/in/job/j1"}})
+                      .has_value());
+
+        // when, then
+        cr_assert(!fixture.state_of("j1", other));
+        cr_assert(fixture.cancel_job("j1", other) == job_call_result::no_such_job);
+        cr_assert(fixture.state_of("j1") == jobs::job_state::completed);
+    }
+}
+
+// The same by a cancellation that comes before the submission.
+Test(job_frontend, the_withdrawal_of_another_team_keeps_no_job_from_being_accepted)
+{
+    // given
+    frontend_fixture fixture;
+    cr_assert(fixture.cancel_job("j1", {"permits", "police"}) == job_call_result::no_such_job);
+
+    // when, then
+    cr_assert(fixture.submit_job("j1") == job_call_result::accepted);
+    cr_assert(fixture.state_of("j1") == jobs::job_state::pending);
+}
+
+Test(job_frontend, a_withdrawal_takes_the_place_of_one_of_another_team)
+{
+    // given
+    frontend_fixture fixture;
+    cr_assert(fixture.cancel_job("j1", {"permits", "police"}) == job_call_result::no_such_job);
+
+    // when
+    cr_assert(fixture.cancel_job("j1") == job_call_result::no_such_job);
+
+    // then
+    cr_assert(fixture.submit_job("j1") == job_call_result::withdrawn);
+}
+
+Test(job_frontend, a_queue_that_is_open_to_all_shows_its_jobs_to_callers_without_a_key)
+{
+    // given
+    frontend_fixture fixture;
+    cr_assert(fixture.submit_job("j1") == job_call_result::accepted);
+
+    // when, then
+    cr_assert(fixture.state_of("j1", {"permits", std::nullopt}) == jobs::job_state::pending);
+    cr_assert(fixture.cancel_job("j2", {"permits", std::nullopt}) == job_call_result::no_such_job);
+    cr_assert(fixture.submit_job("j2") == job_call_result::withdrawn);
+}
+
 Test(job_frontend, entries_of_closed_jobs_are_read_as_written)
 {
     for (const bool withdrawn : {false, true}) {
-        const daemon::closed_job entry{jobs::job_state::cancelled, 1'700'000'000'000, withdrawn};
-        cr_assert(daemon::parse_closed_job(daemon::encode_closed_job(entry)) == entry);
+        for (const std::optional<jobs::job_scope>& scope :
+             {std::optional<jobs::job_scope>{}, std::optional(fire_permits),
+              std::optional(jobs::job_scope{"permits", std::nullopt})}) {
+            const daemon::closed_job entry{jobs::job_state::cancelled, 1'700'000'000'000, withdrawn,
+                                           scope};
+            cr_assert(daemon::parse_closed_job(daemon::encode_closed_job(entry)) == entry);
+        }
     }
     cr_assert(daemon::parse_closed_job("2 17") ==
               (daemon::closed_job{jobs::job_state::completed, 17, false}));
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -151,7 +151,9 @@
     std::string job;
     std::string progress; ///< the encoded progress; empty if closed
     jobs::job_state state = jobs::job_state::pending;
-    bool closed = false; ///< final and without open runs: only the state is kept
+    bool closed = false; ///< final and without open runs: only state and scope are kept
+    std::string queue;   ///< set if closed
+    std::string team;    ///< set if closed
 
     friend bool operator==(const document_change&, const document_change&) = default;
 };
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -248,8 +248,13 @@
         }
         lane.changed.pop_front();
         chosen.insert(id);
-        write.changes.push_back(
-            {id, closed ? std::string{} : std::move(progress), job.progress.state, closed});
+        document_change change{id, std::move(progress), job.progress.state, closed, {}, {}};
+        if (closed) {
+            change.progress.clear();
+            change.queue = job.spec.queue;
+            change.team = job.spec.team;
+        }
+        write.changes.push_back(std::move(change));
     }
     return chosen;
 }
@@ -319,7 +324,8 @@
             continue;
         }
         if (change.closed) {
-            this->closed_states[change.job] = change.state;
+            const jobs::job& spec = job->second.spec;
+            this->closed_states[change.job] = {change.state, {spec.queue, spec.team}};
             this->jobs_by_id.erase(job);
             lane.changed.remove(change.job);
             continue;
@@ -371,11 +377,24 @@
     }
     const auto closed = this->closed_states.find(id);
     if (closed != this->closed_states.end()) {
-        return closed->second;
+        return closed->second.state;
     }
     return std::nullopt;
 }
 
+std::optional<jobs::job_state> scheduler::state_of(const std::string& id,
+                                                   const jobs::job_scope& caller) const
+{
+    const auto active = this->jobs_by_id.find(id);
+    const auto closed = this->closed_states.find(id);
+    const bool is_active = active != this->jobs_by_id.end() &&
+                           caller.contains(active->second.spec.queue, active->second.spec.team);
+    const bool is_closed =
+        closed != this->closed_states.end() &&
+        caller.contains(closed->second.scope.queue, closed->second.scope.team.value_or(""));
+    return is_active || is_closed ? this->state_of(id) : std::nullopt;
+}
+
 std::int64_t scheduler::pending_job_count(const std::string& queue) const
 {
     std::int64_t waiting = 0;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "fleet/pool_planner.h"
+#include "jobs/job_scope.h"
 #include "scheduling/advice_backlog.h"
 #include "scheduling/best_effort_throttle.h"
 #include "scheduling/cold_workers.h"
@@ -153,6 +154,10 @@
     /// is durable.
     [[nodiscard]] std::optional<jobs::job_state> state_of(const std::string& id) const;
 
+    /// As above, for a job of the caller.
+    [[nodiscard]] std::optional<jobs::job_state> state_of(const std::string& id,
+                                                          const jobs::job_scope& caller) const;
+
     /// Returns how many jobs of a queue have not started any task.
     [[nodiscard]] std::int64_t pending_job_count(const std::string& queue) const;
 
@@ -487,7 +492,11 @@
     std::uint64_t last_listing = 0;            ///< number of the latest worker registry
     std::optional<pool_index> workers_by_pool; ///< unset after a change of the workers
     std::unordered_map<std::string, active_job> jobs_by_id;
-    std::unordered_map<std::string, jobs::job_state> closed_states;
+    struct ended_job {
+        jobs::job_state state{};
+        jobs::job_scope scope;
+    };
+    std::unordered_map<std::string, ended_job> closed_states;
     std::set<std::string> pending_cancels; ///< of jobs that are not known yet
     std::map<jobs::task_id, open_run> open_runs;
     std::map<std::string, teams::resources> team_usage;
