Take the longest lease from the deployment where an earlier instance's clock may have set it

The trace shows a run that begins 0.4 s after its worker's restart and lapses 10.1 s later.

A start without an answer, with no other sign of a next instance, is made again after 7.4 s as before, so that rule LOST holds for tasks that last.

--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -72,8 +72,11 @@
     common::milliseconds start_timeout{900};    ///< workers reject a start that arrives later
     common::milliseconds poll_wait{1500};       ///< how long a poll waits for a run to end
     common::milliseconds inherited_lease{6300}; ///< leases of an earlier owner end within this time
-    common::milliseconds stop_grace{900};       ///< time within which a stopped run ends
-    std::size_t journal_lanes = 4; ///< journal writes that may be under way at the same time
+    /// No lease lasts longer, whatever a command asks for. One on the clock of an earlier instance
+    /// asks for more than that.
+    common::milliseconds longest_lease{6300};
+    common::milliseconds stop_grace{900}; ///< time within which a stopped run ends
+    std::size_t journal_lanes = 4;        ///< journal writes that may be under way at the same time
     /// Size of a job's stored progress. The store refuses larger values for good.
     std::size_t max_document_bytes = 900'000;
     bool reserves_room = true; ///< for large tasks; off only to compare
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -37,6 +37,10 @@
 /// Maximum wait of a poll to a worker on which a suspect is starting, or that is held for one.
 constexpr common::milliseconds suspect_poll_wait{300};
 
+/// An owner learns of a worker's restart within this time, by a poll or the registry, and extends
+/// no leases by the clock of the earlier instance any more.
+constexpr common::milliseconds longest_ignorance{4000};
+
 /// A stop command without effect is repeated after this time.
 constexpr common::milliseconds stop_retry_interval{600};
 
@@ -119,7 +123,11 @@
                                  in_flight);
         }
         const common::steady_time leases_end_by = known.leases_end_by;
-        const common::steady_time leases_from_earlier = this->leases_on_next_instance(known);
+        // Commands of an earlier owner may have reached this instance until now.
+        const common::steady_time leases_from_earlier =
+            known.entry.instance.id.empty() || known.token_seen
+                ? this->leases_on_next_instance(known)
+                : now + this->options.longest_lease;
         known = worker_state{};
         known.entry.instance = entry.instance;
         known.leases_end_by = leases_from_earlier;
@@ -205,7 +213,7 @@
 
 common::steady_time scheduler::leases_on_next_instance(const worker_state& worker) const
 {
-    return worker.deadline_sent_at + max_start_flight + this->options.inherited_lease;
+    return worker.deadline_sent_at + max_start_flight + this->options.longest_lease;
 }
 
 /// A start names the worker's id only, so one that is in flight when the worker restarts begins on
@@ -379,10 +387,14 @@
     const bool first = !worker->token_seen;
     worker->token_seen = true;
     if (first) {
-        // Until now commands of an earlier owner could extend the leases, which the worker has one
-        // of for all its runs.
+        // Until now commands of an earlier owner could extend the lease of all runs. Those that
+        // were meant for an earlier instance reach a worker soon after its start.
+        const common::milliseconds from_earlier_instance =
+            std::min(this->options.longest_lease, this->options.longest_lease + longest_ignorance -
+                                                      common::milliseconds(answer.report.clock_ms));
         worker->leases_end_by =
-            std::max(worker->leases_end_by, now + this->options.inherited_lease);
+            std::max(worker->leases_end_by,
+                     now + std::max(this->options.inherited_lease, from_earlier_instance));
     }
     worker->observe_clock(answer.report.clock_ms, answer.sent_at, now);
     worker->last_response_at = now;
@@ -692,6 +704,13 @@
         std::set<jobs::task_id> kept;
         if (is_due && now < this->leases_on_next_instance(worker)) {
             kept = this->starts_for_next_instance(worker);
+            const bool may_be_gone =
+                now >= worker.deadline_sent_at + max_start_flight + this->options.inherited_lease;
+            // Without a sign of another instance, a task is not kept waiting for the longest lease.
+            std::erase_if(kept, [&](const jobs::task_id& each) {
+                return may_be_gone &&
+                       this->open_runs.at(each).accepted_by != answering_instance::next;
+            });
         }
         const bool has_expired = is_due && kept.size() < worker.runs.size();
         if (has_expired && worker.missed_polls > 0) {
--- a/src/scheduling/tests/next_instance_tests.cpp
+++ b/src/scheduling/tests/next_instance_tests.cpp
@@ -264,6 +264,46 @@
     cr_assert(is_given_up());
 }
 
+// Rule TWICE, recut on kgl-sched-grown: workers that hold runs for 10 s had been counted with 6.3
+// s.
+Test(next_instance, a_run_on_the_next_instance_outlives_the_longest_lease_of_the_deployment)
+{
+    // given: a run that the next instance accepted and reports
+    scheduler_options options;
+    options.longest_lease = milliseconds(10'500);
+    scheduler_fixture fixture({make_worker("w1"), make_worker("w2")}, {}, options);
+    fixture.answer_first_polls();
+    fixture.submit_job(make_job("j1"));
+    const start_command start = fixture.starts.at(0);
+    cr_assert(start.worker.id == "w1");
+    const std::int64_t sent_ms = fixture.now_ms;
+    fixture.answer_start(start, command_outcome::accepted, young_clock_ms);
+    const worker_instance next = restart_worker(fixture);
+    answer_poll_of(fixture, next, {scheduler_fixture::running(start)});
+
+    // when, then: it is silent from then on
+    const auto be_silent_until = [&fixture](std::int64_t end_ms) {
+        while (fixture.now_ms < end_ms) {
+            fixture.advance(fixture.now_ms + 50);
+            if (fixture.polls.contains("w1")) {
+                fixture.under_test.handle_poll_result({fixture.polls.at("w1").worker,
+                                                       fixture.poll_sent_at["w1"],
+                                                       command_outcome::unknown,
+                                                       {}},
+                                                      fixture.now());
+                fixture.polls.erase("w1");
+            }
+            if (fixture.polls.contains("w2")) {
+                fixture.answer_poll("w2");
+            }
+        }
+    };
+    be_silent_until(sent_ms + 10'000);
+    cr_assert(fixture.starts.size() == 1);
+    be_silent_until(sent_ms + 12'000);
+    cr_assert(fixture.starts.size() == 2);
+}
+
 Test(next_instance, a_clock_tells_which_instance_answered)
 {
     // given: a poll that was answered at once
