--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -347,11 +347,17 @@
     void throttle_best_effort_runs(worker_state& worker, common::steady_time now);
     void note_crash(const worker_state& lost, const worker_entry& successor,
                     const std::vector<lost_start>& explained, common::steady_time now);
-    [[nodiscard]] std::set<jobs::task_id> runs_on(const worker_instance& instance,
-                                                  const worker_state& worker) const;
     void add_run_to(worker_state& worker, const jobs::task_id& task) const;
     void mark_runs_lost(worker_state& worker, worker_loss how, std::string_view why,
                         common::steady_time now, const std::set<jobs::task_id>& kept = {});
+    void withdraw_start(const active_job& job, const jobs::task_id& task, common::steady_time now);
+    void request_stop(const jobs::task_id& task, open_run& run, common::steady_time now);
+    [[nodiscard]] std::int64_t deadline_for(const worker_state& worker, common::steady_time now,
+                                            common::milliseconds time) const;
+
+    // scheduler_instances.cpp: instances of a worker under one id, and the ends of their leases
+    [[nodiscard]] std::set<jobs::task_id> runs_on(const worker_instance& instance,
+                                                  const worker_state& worker) const;
     /// Returns the runs on a worker that its next instance may hold instead.
     [[nodiscard]] std::set<jobs::task_id>
     starts_for_next_instance(const worker_state& worker) const;
@@ -364,10 +370,6 @@
     void expire_workers(common::steady_time now);
     [[nodiscard]] bool is_silence_certain(const worker_state& worker,
                                           common::steady_time now) const;
-    void withdraw_start(const active_job& job, const jobs::task_id& task, common::steady_time now);
-    void request_stop(const jobs::task_id& task, open_run& run, common::steady_time now);
-    [[nodiscard]] std::int64_t deadline_for(const worker_state& worker, common::steady_time now,
-                                            common::milliseconds time) const;
 
     // scheduler_crashes.cpp: tasks that crash their workers
     [[nodiscard]] bool is_starting(const worker_state& worker, const jobs::task_id& task) const;
