--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -3,7 +3,6 @@
 
 #include <unordered_map>
 
-
 namespace chervilslip::scheduling {
 
 namespace {
