Forget a foreign withdrawal that is purged while a job is written

Callers would have seen submissions at one node wait without end.

Change: the expectation is dropped with each write that fails for another reason.

--- a/src/daemon/job_frontend.cpp
+++ b/src/daemon/job_frontend.cpp
@@ -227,7 +227,9 @@
             this->complete(each,
                            withdrawn ? job_call_result::withdrawn : job_call_result::accepted);
         } else {
-            --each.attempts; // another job or a changed share failed the batch
+            // Another job, a changed share or the purge of a foreign withdrawal failed the batch.
+            --each.attempts;
+            each.foreign_withdrawal = 0;
             this->queue.push_front(std::move(each));
         }
     }
--- a/src/daemon/tests/job_frontend_tests.cpp
+++ b/src/daemon/tests/job_frontend_tests.cpp
@@ -372,6 +372,29 @@
     cr_assert(fixture.state_of("j1") == jobs::job_state::pending);
 }
 
+// The submission was written again without end, and kept all later ones waiting.
+Test(job_frontend, the_withdrawal_of_another_team_may_be_purged_while_a_job_is_written)
+{
+    // given: a write that expects the withdrawal
+    frontend_fixture fixture;
+    cr_assert(fixture.cancel_job("j1", {"permits", "police"}) == job_call_result::no_such_job);
+    fixture.store.delay_execution = true;
+    const auto& submitted = fixture.submit_job("j1");
+    const auto execute = [&fixture](std::size_t number) {
+        fixture.store.unanswered.at(number)(
+            fixture.store.items.commit(fixture.store.delayed.at(number)));
+    };
+    execute(0);
+
+    // when
+    cr_assert(fixture.store.items.commit({{}, {}, {"chervilslip/closed/j1"}}).has_value());
+    execute(1);
+    execute(2);
+
+    // then
+    cr_assert(submitted == job_call_result::accepted);
+}
+
 Test(job_frontend, a_withdrawal_takes_the_place_of_one_of_another_team)
 {
     // given
