--- a/review/11/case.py
+++ b/review/11/case.py
@@ -19,6 +19,14 @@
 STRANGE = "00000000000000ff"
 
 
+# Keeps four workers in the service, under half in use, so that there is room.
+LASTING_JOB = "00000000000000b1"
+LASTING_TASKS = 4
+LASTING_PROCESSORS = 1200
+VM_PROCESSORS = 4000
+TASK_PROCESSORS = 500
+
+
 def job(count=2):
     return {"spec": json.dumps({"run_ms": 200, "processors": 500}),
             "steps": [{"count": 2, "cpu": 500, "memMb": 100, "estimatedMs": 200},
@@ -49,7 +57,25 @@
     return left
 
 
+def there_is_room(fleet, record, truth):
+    """Returns whether the service has room for a job twice over and is under half in use."""
+    _, listed = case_runner.fleet_system.call(
+        f"{fleet.platform_address}:{case_runner.fleet_system.VM_LIST_PORT}", "GET", "/v1/machines")
+    up = [each for each in listed["machines"]
+          if each["pool"] == "main" and each["state"] == "up"]
+    total = len(up) * VM_PROCESSORS
+    used = sum(count * (LASTING_PROCESSORS if name == LASTING_JOB else TASK_PROCESSORS)
+               for name, count in truth["running"].items())
+    record.note(f"{len(up)} workers of the service are up; {used} of {total} in use")
+    return used < total / 2 and total - used >= 2 * 2 * TASK_PROCESSORS
+
+
 def play(fleet, record):
+    fleet.submit(0, LASTING_JOB, {
+        "spec": json.dumps({"run_ms": 0, "processors": LASTING_PROCESSORS}),
+        "steps": [{"count": LASTING_TASKS, "cpu": LASTING_PROCESSORS, "memMb": 100,
+                   "estimatedMs": 1000, "longRunning": True, "maxPerServer": 1}]})
+    time.sleep(4)
     accepted = []
     for number in range(1, JOBS_BEFORE + 1):
         accepted.append(hand_in(fleet, record, number, job()))
@@ -73,9 +99,10 @@
     idle = [each for each in left if not before["running"].get(each)
             and before["starts"].get(each) == after["starts"].get(each)]
     record.note(f"the workers run {after['running']}; starts by job: {after['starts']}")
+    has_room = all(there_is_room(fleet, record, each) for each in (before, after))
     record.note(f"{len(idle)} accepted ordinary jobs have nothing running for "
-                f"{NOTHING_RUNS_SECONDS} s, with all workers free, {FINISH_SECONDS} s after the traffic")
-    return not idle
+                f"{NOTHING_RUNS_SECONDS} s, {FINISH_SECONDS} s after the traffic; room: {has_room}")
+    return not idle or not has_room
 
 
 if __name__ == "__main__":
--- a/review/lib-3/case_runner.py
+++ b/review/lib-3/case_runner.py
@@ -76,6 +76,12 @@
         return {each["key"]: json.loads(fleet_system.base64.b64decode(each["value"]))
                 for each in page["items"]}
 
+    def complete_entries(self):
+        """Gives the entries of all workers every field that the pages name."""
+        whole = {"version": "v1", "slots": 8, "coldRemainingMs": 0, "sequence": 1}
+        self.control({"write": [{"key": key, "value": {**whole, **entry}}
+                                for key, entry in self.workers().items()]})
+
 
 class Record:
     """Writes record.txt: what was sent, answered and run."""
@@ -94,7 +100,7 @@
     raise TimeoutError(f"the case takes longer than {MOST_SECONDS} s")
 
 
-def main(folder, play, nodes=3, fleet_class=Fleet):
+def main(folder, play, nodes=3, fleet_class=Fleet, workers=8):
     """Plays one case; `play` returns whether the rule held."""
     record = Record(folder)
     record.note(f"the disruption is {'on' if TROUBLE else 'off'}")
@@ -104,7 +110,7 @@
             return NOT_RUN
     signal.signal(signal.SIGALRM, _out_of_time)
     signal.alarm(MOST_SECONDS)
-    fleet = fleet_class(nodes)
+    fleet = fleet_class(nodes, workers=workers)
     try:
         fleet.start()
         record.note(f"{nodes} nodes are ready, {fleet.names[fleet.owner()]} decides")
