Check the numbers of a job before they are summed up

Cause: check_job added the count of a step to the sum before it compared the sum with its limit. The sum overflowed to a negative number, which passed.

Change: each count and amount is compared with its own limit first. Amounts that no VM has (above 10^9) are refused with the field and its value, since such a task can never run. Times and limits that are hints are clamped, also in jobs that an earlier version has stored.

Conclusion: a job of a caller can't overflow the owner's sums any more.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,6 +13,9 @@
 /// Jobs: steps of identical tasks, with dependencies between the steps.
 namespace chervilslip::jobs {
 
+/// Latest due time of an occurrence, as Unix time: the year 2200.
+inline constexpr std::int64_t max_due_ms = 7'258'118'400'000;
+
 /// Index of a step within its job.
 using step_index = std::size_t;
 
@@ -78,7 +82,7 @@
         if (this->repeats <= 0) {
             return this->accepted_ms;
         }
-        return this->first_due_ms + occurrence * this->interval.count();
+        return std::min(this->first_due_ms + occurrence * this->interval.count(), max_due_ms);
     }
 
     /// Tells whether any step is long-running. Thread safe.
--- a/src/jobs/job_checker.h
+++ b/src/jobs/job_checker.h
@@ -13,7 +13,19 @@
 /// one value.
 inline constexpr std::int64_t max_runs_of_job = 10'000;
 
-/// Checks a submitted job. Thread safe. Errors: `invalid` with the field at fault.
+/// Most of a resource that one task may request: thousandths of a processor, MB or accelerators.
+/// No VM has as much, and the requests of all stored jobs can be summed up.
+inline constexpr std::int64_t max_amount_of_task = 1'000'000'000;
+
+/// Longest estimate or latency target that planning takes into account.
+inline constexpr common::milliseconds max_planned_time = std::chrono::hours(7 * 24);
+
+/// Checks what a job requests. Thread safe. Errors: `invalid` with the field at fault, its value
+/// and what is allowed.
 common::result<void> check_job(const job& candidate);
 
+/// Limits times and other hints, which any job may carry, to the range in which planning can
+/// compute with them. Thread safe.
+void limit_hints(job& accepted);
+
 } // namespace chervilslip::jobs
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "jobs/job_checker.h"
+
 namespace chervilslip::jobs {
 
 namespace {
@@ -113,6 +115,7 @@
         value.interval = common::milliseconds(row.at(7).get<std::int64_t>());
         value.accepted_ms = row.at(8).get<std::int64_t>();
         value.policy = policy_from_json(row.at(9));
+        limit_hints(value); // earlier versions stored them as they came
         return value;
     } catch (const json::exception& failure) {
         return common::make_error(common::errc::bad_message, "read stored job", peer,
--- a/src/jobs/tests/job_tests.cpp
+++ b/src/jobs/tests/job_tests.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include <criterion/criterion.h>
 
 #include "jobs/job_checker.h"
@@ -5,6 +7,9 @@
 
 namespace {
 
+constexpr std::int64_t largest = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t smallest = std::numeric_limits<std::int64_t>::min();
+
 using namespace chervilslip;
 using namespace chervilslip::jobs;
 
@@ -102,6 +107,70 @@
     cr_assert(check_job(scheduled).has_value());
 }
 
+// Rule LOST: the sum of the counts overflowed and passed its bound, and no owner could restore the
+// job.
+Test(job, a_count_that_overflows_the_sum_of_all_tasks_is_refused)
+{
+    // given
+    job overflowing = sample_job();
+    overflowing.steps[1].count = largest;
+
+    // when
+    const auto checked = check_job(overflowing);
+
+    // then
+    cr_assert(!checked.has_value());
+    cr_assert(checked.error().detail ==
+              "steps[1].count is 9223372036854775807; allowed is 1 to 5000");
+}
+
+Test(job, amounts_that_no_vm_has_are_refused)
+{
+    for (const std::int64_t amount :
+         {largest, smallest, std::int64_t{-1}, max_amount_of_task + 1}) {
+        // given
+        std::vector<job> jobs(3, sample_job());
+        jobs[0].steps[0].task_resources.processors = amount;
+        jobs[1].steps[1].task_resources.memory_mb = amount;
+        jobs[2].steps[1].task_resources.accelerators = amount;
+
+        // when, then
+        for (const job& each : jobs) {
+            cr_assert(!check_job(each).has_value(), "%lld", static_cast<long long>(amount));
+        }
+    }
+    job greatest = sample_job();
+    greatest.steps[0].task_resources.processors = max_amount_of_task;
+    cr_assert(check_job(greatest).has_value());
+}
+
+Test(job, hints_out_of_range_are_limited_also_where_an_earlier_version_stored_them)
+{
+    for (const std::int64_t number : {largest, smallest}) {
+        // given
+        job odd = sample_job();
+        odd.repeats = 3;
+        odd.first_due_ms = number;
+        odd.interval = common::milliseconds(number);
+        odd.steps[0].estimate = common::milliseconds(number);
+        odd.steps[0].tail_latency_target = common::milliseconds(number);
+        odd.steps[0].max_per_vm = number;
+        odd.steps[0].max_unavailable = number;
+
+        // when
+        const auto decoded = decode_job(encode_job(odd), "store");
+
+        // then
+        cr_assert(decoded.has_value());
+        const step& limited = decoded.value().steps[0];
+        cr_assert(limited.estimate == (number > 0 ? max_planned_time : common::milliseconds(0)));
+        cr_assert(limited.tail_latency_target == limited.estimate);
+        cr_assert(limited.max_per_vm == (number > 0 ? max_tasks_of_job : 0));
+        cr_assert(limited.max_unavailable == limited.max_per_vm);
+        cr_assert(decoded.value().due_ms(2) == (number > 0 ? max_due_ms : 0));
+    }
+}
+
 Test(job, task_ids_are_parsed_and_other_texts_are_not)
 {
     // given
