End a stored job that can't be restored instead of the owner's duty

Cause: an exception about one stored job ended the duty of each owner in turn: restore threw, and handle_unexpected gave up the claim. The next owner read the same job.

Change: a job is checked when it is taken, from the store or from a node: its numbers, and the shape of its progress. One that fails is ended as failed (or cancelled), with the defect in its last log line, and closed in the store. Its runs are unexpected, and are stopped once their workers report them.

Conclusion: a fleet that has such a job in its store already is helped as well.

--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -112,7 +112,7 @@
         bool input_read = false;
         store::item_map input;
         std::int64_t input_revision = 0;
-        std::map<std::string, scheduling::job_progress> progress;
+        std::map<std::string, common::result<scheduling::job_progress>> progress;
     };
 
     struct pending_journal_write {
--- a/src/daemon/scheduler_host_takeover.cpp
+++ b/src/daemon/scheduler_host_takeover.cpp
@@ -84,14 +84,9 @@
             std::string last;
             for (const store::item& each : page.value().items) {
                 last = each.key;
-                auto read = scheduling::decode_progress(each.value, each.key);
-                if (!read) {
-                    this->dependencies.log.write(event_id::journal_failed,
-                                                 {{"error", read.error().to_string()}});
-                    continue;
-                }
-                this->takeover->progress[each.key.substr(store_keys::progress.size())] =
-                    std::move(read.value());
+                this->takeover->progress.insert_or_assign(
+                    each.key.substr(store_keys::progress.size()),
+                    scheduling::decode_progress(each.value, each.key));
             }
             if (page.value().more && !last.empty()) {
                 this->read_progress(last);
@@ -182,9 +177,12 @@
         scheduling::stored_job& restored = stored.emplace_back();
         restored.spec = std::move(job.value());
         restored.cancelled = read->input.contains(store_keys::make_key(store_keys::cancels, id));
-        const auto progress = read->progress.find(id);
-        if (progress != read->progress.end()) {
-            restored.progress = progress->second;
+        if (const auto progress = read->progress.find(id); progress != read->progress.end()) {
+            if (progress->second) {
+                restored.progress = std::move(progress->second.value());
+            } else {
+                restored.defect = progress->second.error().to_string();
+            }
         }
     }
     this->dependencies.log.write(event_id::takeover_read,
--- a/src/scheduling/progress.cpp
+++ b/src/scheduling/progress.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/progress.h"
 
+#include <utility>
+
 #include "common/msgpack_row.h"
 
 namespace chervilslip::scheduling {
@@ -145,6 +147,33 @@
     return value;
 }
 
+common::result<void> check_progress(const job_progress& value, const jobs::job& of)
+{
+    const auto differs = [&of](const std::string& what, std::size_t stored, std::int64_t expected) {
+        return common::make_error(common::errc::bad_message, "check job progress", of.id,
+                                  std::to_string(stored) + " " + what + "; the job has " +
+                                      std::to_string(expected));
+    };
+    if (value.tasks.empty()) {
+        return boost::outcome_v2::success();
+    }
+    if (std::cmp_not_equal(value.tasks.size(), of.occurrences())) {
+        return differs("occurrences", value.tasks.size(), of.occurrences());
+    }
+    for (const auto& steps : value.tasks) {
+        if (steps.size() != of.steps.size()) {
+            return differs("steps", steps.size(), static_cast<std::int64_t>(of.steps.size()));
+        }
+        for (std::size_t s = 0; s < steps.size(); ++s) {
+            if (std::cmp_not_equal(steps[s].size(), of.steps[s].count)) {
+                return differs("tasks in step " + std::to_string(s), steps[s].size(),
+                               of.steps[s].count);
+            }
+        }
+    }
+    return boost::outcome_v2::success();
+}
+
 std::int64_t crash_evidence(const task_progress& task, const jobs::step& step)
 {
     // Guilty tasks that crash their workers beside others would be started too often. Tasks that
@@ -216,7 +245,11 @@
     return common::read_msgpack<job_progress>(
         bytes, "decode job progress", peer, [](const msgpack_row& row) {
             job_progress value;
-            value.state = static_cast<jobs::job_state>(row.get<int>(0));
+            const int state = row.get<int>(0);
+            if (state < 0 || state > static_cast<int>(jobs::job_state::cancelled)) {
+                throw msgpack::type_error();
+            }
+            value.state = static_cast<jobs::job_state>(state);
             value.ended_ms = row.get<std::int64_t>(1);
             row.row(2).for_each([&value](const msgpack::object& steps) {
                 auto& occurrence = value.tasks.emplace_back();
--- a/src/scheduling/progress.h
+++ b/src/scheduling/progress.h
@@ -58,6 +58,10 @@
 /// Returns the progress of a job that has not started. Thread safe.
 job_progress initial_progress(const jobs::job& job);
 
+/// Checks that progress has the occurrences, steps and tasks of a job that passes `check_job`, or
+/// no tasks at all. Thread safe. Errors: `bad_message` with what differs.
+common::result<void> check_progress(const job_progress& value, const jobs::job& of);
+
 /// Encodes progress as MessagePack. Thread safe.
 std::string encode_progress(const job_progress& value);
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -29,6 +29,7 @@
     jobs::job spec;
     std::optional<job_progress> progress; ///< unset if no owner has processed the job yet
     bool cancelled = false;               ///< a cancellation is stored
+    std::string defect;                   ///< why the stored progress can't be read; empty: it can
 
     friend bool operator==(const stored_job&, const stored_job&) = default;
 };
@@ -308,6 +309,9 @@
     // scheduler_jobs.cpp: jobs and ended runs
     active_job* find_job(const std::string& id);
     void add_job(stored_job&& stored, common::steady_time now);
+    /// Ends a job that can't be restored, so that it holds up no other. Its runs are stopped once
+    /// their workers report them.
+    void end_unusable_job(stored_job&& stored, const std::string& defect);
     void count_tasks(active_job& job);
     void complete_task(active_job& job, const jobs::task_id& task);
     void charge_failure(active_job& job, const jobs::task_id& task, worker_state& worker);
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "jobs/job_checker.h"
+
 namespace chervilslip::scheduling {
 
 namespace {
@@ -16,6 +18,24 @@
            task.index < job.steps[task.step].count;
 }
 
+/// Returns why a job can't be restored, or an empty text. Other writers and earlier versions may
+/// have stored what is never accepted from callers.
+std::string find_defect(const stored_job& stored)
+{
+    if (!stored.defect.empty()) {
+        return stored.defect;
+    }
+    if (const auto checked = jobs::check_job(stored.spec); !checked) {
+        return checked.error().to_string();
+    }
+    if (stored.progress) {
+        if (const auto checked = check_progress(*stored.progress, stored.spec); !checked) {
+            return checked.error().to_string();
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 scheduler::active_job* scheduler::find_job(const std::string& id)
@@ -53,12 +73,35 @@
     }
 }
 
+void scheduler::end_unusable_job(stored_job&& stored, const std::string& defect)
+{
+    const std::string id = stored.spec.id;
+    active_job& job = this->jobs_by_id[id];
+    job.spec = std::move(stored.spec);
+    job.spec.steps.clear();
+    job.spec.repeats = 0;
+    job.history.failure = defect;
+    ++this->totals.jobs_taken;
+    const bool cancelled = stored.cancelled || this->pending_cancels.erase(id) > 0;
+    this->finish_job(job, cancelled ? jobs::job_state::cancelled : jobs::job_state::failed,
+                     this->last_now);
+}
+
 void scheduler::add_job(stored_job&& stored, common::steady_time now)
 {
+    if (const std::string defect = find_defect(stored); !defect.empty()) {
+        this->end_unusable_job(std::move(stored), defect);
+        return;
+    }
     const std::string id = stored.spec.id;
     active_job& job = this->jobs_by_id[id];
     job.spec = std::move(stored.spec);
-    job.progress = stored.progress ? std::move(*stored.progress) : initial_progress(job.spec);
+    if (stored.progress) {
+        job.progress = std::move(*stored.progress);
+    }
+    if (job.progress.tasks.empty() && !jobs::is_final(job.progress.state)) {
+        job.progress.tasks = initial_progress(job.spec).tasks;
+    }
     this->count_tasks(job);
     job.final_is_durable = jobs::is_final(job.progress.state);
     ++this->totals.jobs_taken;
--- a/src/scheduling/tests/scheduler_takeover_tests.cpp
+++ b/src/scheduling/tests/scheduler_takeover_tests.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include "scheduling/tests/scheduler_fixture.h"
 
 namespace {
@@ -138,4 +140,69 @@
     cr_assert(fixture.starts.front().task.index == 1);
 }
 
+/// Returns a job that an earlier version accepted: the sum of its tasks overflows.
+jobs::job make_endless_job(const std::string& id)
+{
+    jobs::job endless = make_job(id);
+    endless.steps.push_back(endless.steps[0]);
+    endless.steps[1].count = std::numeric_limits<std::int64_t>::max();
+    return endless;
+}
+
+// Rule LOST: each owner in turn threw on one stored job, and none started any other.
+Test(scheduler_takeover, a_stored_job_that_can_never_be_done_ends_and_holds_up_no_other)
+{
+    // given
+    scheduler_fixture fixture({make_worker("w1")}, {{make_endless_job("endless"), std::nullopt},
+                                                    {make_job("sound"), std::nullopt}});
+
+    // when
+    fixture.answer_poll("w1");
+    fixture.advance(800);
+
+    // then
+    cr_assert(fixture.under_test.state_of("endless") == jobs::job_state::failed);
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.starts[0].task.job == "sound");
+}
+
+Test(scheduler_takeover, a_submitted_job_that_can_never_be_done_ends_and_holds_up_no_other)
+{
+    // given
+    scheduler_fixture fixture({make_worker("w1")});
+    fixture.answer_poll("w1");
+
+    // when
+    fixture.submit_job(make_endless_job("endless"));
+    fixture.submit_job(make_job("sound"));
+    fixture.advance(400);
+
+    // then
+    cr_assert(fixture.under_test.state_of("endless") == jobs::job_state::failed);
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.starts[0].task.job == "sound");
+}
+
+// Rule TWICE: a job whose progress could not be read was begun anew, beside its runs.
+Test(scheduler_takeover, a_job_whose_progress_is_unusable_ends_and_is_not_begun_anew)
+{
+    // given progress of a job with other tasks, progress that can't be decoded, and one of no tasks
+    stored_job of_other_tasks{make_job("j1", 2), initial_progress(make_job("j1", 3)), false};
+    stored_job unreadable{make_job("j2"), std::nullopt, false, "unexpected structure"};
+    stored_job of_no_tasks{make_job("j3"), job_progress{}, false};
+    scheduler_fixture fixture({make_worker("w1")}, {of_other_tasks, unreadable, of_no_tasks});
+
+    // when
+    fixture.answer_poll("w1", {{{"j2", 0, 0, 0}, 1, {}, 0, 0}});
+    fixture.advance(400);
+
+    // then only the last one starts, and what runs of the others is stopped
+    cr_assert(fixture.under_test.state_of("j1") == jobs::job_state::failed);
+    cr_assert(fixture.under_test.state_of("j2") == jobs::job_state::failed);
+    cr_assert(fixture.stops.size() == 1);
+    cr_assert(fixture.stops[0].task.job == "j2");
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.starts[0].task.job == "j3");
+}
+
 } // namespace
