Answer accepted jobs before the owner is notified of them

The callers' interface has no 500: it tells neither that the job runs nor that it never does.

Cause: on the owner's node the notification of a stored job runs in the same handler as the answer, and before it. When it throws, the answers to the whole batch are lost, and the writes that wait behind it are not sent until another job comes.

Change: the answers are given and the next batch is written first.

--- a/src/daemon/job_frontend.cpp
+++ b/src/daemon/job_frontend.cpp
@@ -101,9 +101,14 @@
                                     common::result<store::commit_outcome> outcome) mutable {
         this->writing = false;
         this->ids_being_written.clear();
-        this->handle_write_result(std::move(batch), std::move(outcome));
+        const std::vector<jobs::job> accepted =
+            this->handle_write_result(std::move(batch), outcome);
         this->reject_unsent();
         this->write_next_batch();
+        // After the answers, which must not depend on what the owner does with the jobs.
+        for (const jobs::job& each : accepted) {
+            this->owner.notify_job(each, outcome.value().revision);
+        }
     });
 }
 
@@ -162,9 +167,11 @@
     }
 }
 
-void job_frontend::handle_write_result(std::vector<pending_job> batch,
-                                       common::result<store::commit_outcome> outcome)
+std::vector<jobs::job>
+job_frontend::handle_write_result(std::vector<pending_job> batch,
+                                  const common::result<store::commit_outcome>& outcome)
 {
+    std::vector<jobs::job> accepted;
     if (!outcome) {
         const bool uncertain = outcome.error().may_have_been_done();
         if (uncertain) {
@@ -181,7 +188,7 @@
                                                                     : job_call_result::rejected);
             }
         }
-        return;
+        return accepted;
     }
     if (outcome.value().committed) {
         for (pending_job& each : batch) {
@@ -189,10 +196,10 @@
                 this->complete(each, job_call_result::overloaded);
                 continue;
             }
-            this->owner.notify_job(each.job, outcome.value().revision);
             this->complete(each, job_call_result::accepted);
+            accepted.push_back(std::move(each.job));
         }
-        return;
+        return accepted;
     }
     std::map<std::string, const store::item*> present;
     for (const store::item& each : outcome.value().current) {
@@ -233,6 +240,7 @@
             this->queue.push_front(std::move(each));
         }
     }
+    return accepted;
 }
 
 void job_frontend::complete(pending_job& each, job_call_result call_result)
--- a/src/daemon/job_frontend.h
+++ b/src/daemon/job_frontend.h
@@ -111,8 +111,10 @@
 
     void reject_unsent();
     void write_next_batch();
-    void handle_write_result(std::vector<pending_job> batch,
-                             common::result<store::commit_outcome> outcome);
+    /// Returns the jobs that are stored now.
+    std::vector<jobs::job>
+    handle_write_result(std::vector<pending_job> batch,
+                        const common::result<store::commit_outcome>& outcome);
     void add_unconfirmed(const std::vector<pending_job>& batch);
     [[nodiscard]] bool is_shed(const jobs::job& submitted) const;
     void add_admission_conditions(store::transaction& changes, bool any_shed) const;
--- a/src/daemon/tests/job_frontend_tests.cpp
+++ b/src/daemon/tests/job_frontend_tests.cpp
@@ -1,3 +1,5 @@
+#include <stdexcept>
+
 #include <criterion/criterion.h>
 
 #include "daemon/job_frontend.h"
@@ -75,6 +77,9 @@
     {
         ++this->notifications;
         this->notified_revision = revision;
+        if (this->throws) {
+            throw std::length_error("a job that the owner can't take");
+        }
     }
 
     void notify_cancel(const std::string&, std::int64_t revision) override
@@ -92,6 +97,7 @@
     {
     }
 
+    bool throws = false;
     int notifications = 0;
     std::int64_t notified_revision = 0; ///< of the latest notification
 };
@@ -171,6 +177,28 @@
     cr_assert(fixture.frontend.open_calls() == 0);
 }
 
+// Rule REFUSED: a stored job was answered with 500, as its notification threw.
+Test(job_frontend, an_accepted_job_is_answered_whatever_the_owner_does_with_it)
+{
+    // given a job under way and one that waits behind it
+    frontend_fixture fixture;
+    fixture.owner.throws = true;
+    fixture.store.withhold_responses = true;
+    auto& first = fixture.submit_job("00000000000000a1");
+    auto& second = fixture.submit_job("00000000000000a2");
+
+    // when
+    const auto done = std::move(fixture.store.unanswered.front());
+    fixture.store.unanswered.clear();
+    fixture.store.withhold_responses = false;
+    cr_assert_throw(done(fixture.store.items.commit(fixture.store.last_transaction)),
+                    std::length_error);
+
+    // then
+    cr_assert(first == job_call_result::accepted);
+    cr_assert(second == job_call_result::accepted);
+}
+
 Test(job_frontend, a_notification_carries_the_revision_of_the_write)
 {
     // given
