Don't take an earlier owner's maintenance for that of another wave

Cause: the VM list shows that a VM is under maintenance, not for which wave. The planner takes it for a wave's own unless another wave may have ordered it. It knew of the other wave's order only while the VM had not been seen up again, and a new owner restored the VMs of a completed wave as finished. But a wave is completed when its last maintenance starts, so the record does not tell that it is over.

Change: a VM that an earlier owner's record names counts as possibly under maintenance for that wave, whether the wave is open, completed or withdrawn, until a list that is younger than the takeover shows it up. Meanwhile its maintenance is evidence for no other wave; that wave orders its own once the VM is up. Completed waves withhold no VM, as before. A late response no longer undoes a finished maintenance.

--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -200,7 +200,8 @@
         this->progress_revisions[wave] = stored.revision;
         const auto value = nlohmann::json::parse(stored.value);
         this->planner.restore(wave, value.at("serviced").get<std::set<std::string>>(),
-                              value.at("completed").get<bool>());
+                              value.at("completed").get<bool>(),
+                              this->dependencies.clock.steady_now());
     } catch (const std::exception& failure) {
         // Maintenance orders of this wave may be repeated, which is harmless.
         this->dependencies.log.write(event_id::journal_failed,
--- a/src/maintenance/tests/wave_planner_tests.cpp
+++ b/src/maintenance/tests/wave_planner_tests.cpp
@@ -130,8 +130,8 @@
 {
     // given
     wave_planner planner(wave_options{});
-    planner.restore(1, {"a", "b"}, false);
-    planner.restore(2, {"a"}, true);
+    planner.restore(1, {"a", "b"}, false, at(0));
+    planner.restore(2, {"a"}, true, at(0));
     planner.update_waves({two_of_three, {2, {"a"}, milliseconds(20000), 1}}, at(0));
 
     // when
@@ -352,6 +352,115 @@
     cr_assert(planner.started_vms(2).empty());
 }
 
+/// Plays two waves over the VM "a", the first one with the record of an earlier owner, while the
+/// maintenance that the list shows at 0 ends at 1800. Returns the orders for the second wave.
+std::vector<std::string> orders_after_restored_wave(wave_planner& planner)
+{
+    const wave_request second{2, {"a"}, milliseconds(20000), 1};
+    std::vector<std::string> ordered;
+    for (std::int64_t ms = 200; ms < 6000; ms += 100) {
+        planner.update_waves({{1, {"a"}, milliseconds(20000), 1}, second}, at(ms));
+        const bool is_up = ms >= 1800;
+        for (const wave_step& step :
+             planner.plan(is_up ? idle_vms(ms) : vms_with_a_under_maintenance(ms), at(ms))) {
+            const bool completes = step.what == kind::report_completed && step.wave == 2;
+            cr_assert(!completes || !ordered.empty(), "completed without an order at %d",
+                      static_cast<int>(ms));
+            if (step.what == kind::report_running) {
+                planner.on_report_response(step.wave, false, true);
+            } else if (step.what == kind::start_maintenance && step.wave == 2) {
+                cr_assert(is_up);
+                ordered.push_back(step.vm);
+                planner.on_order_response(2, step.vm, outcome::accepted, at(ms));
+            }
+        }
+    }
+    return ordered;
+}
+
+// Rule MIXED: a new owner took the maintenance that the earlier owner had ordered for a completed
+// wave for that of another wave.
+Test(wave_planner, the_maintenance_of_a_completed_wave_is_not_taken_for_that_of_another_wave)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.restore(1, {"a"}, true, at(0));
+
+    // when, then
+    cr_assert(orders_after_restored_wave(planner).size() == 1);
+}
+
+Test(wave_planner, the_maintenance_of_a_restored_open_wave_is_not_taken_for_that_of_another_wave)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.restore(1, {"a"}, false, at(0));
+
+    // when, then
+    cr_assert(orders_after_restored_wave(planner).size() == 1);
+}
+
+// The order of the earlier owner is in no record, as it ended before the response.
+Test(wave_planner, a_maintenance_without_a_record_is_not_taken_for_that_of_another_wave)
+{
+    // given
+    wave_planner planner(wave_options{});
+
+    // when, then
+    cr_assert(orders_after_restored_wave(planner).size() == 1);
+}
+
+Test(wave_planner, the_maintenance_of_a_withdrawn_wave_is_not_taken_for_that_of_another_wave)
+{
+    // given: wave 9 is in the record, but no longer requested
+    wave_planner planner(wave_options{});
+    planner.restore(9, {"a"}, true, at(0));
+    planner.update_waves({{1, {"a"}, milliseconds(20000), 1}}, at(0));
+
+    // when
+    planner.plan(vms_with_a_under_maintenance(200), at(200));
+
+    // then
+    cr_assert(planner.started_vms(1).empty());
+
+    // when the list has shown the VM up, a later maintenance is that of wave 1
+    planner.plan(idle_vms(2500), at(2500));
+    planner.plan(vms_with_a_under_maintenance(3000), at(3000));
+
+    // then
+    cr_assert(planner.started_vms(1).contains("a"));
+}
+
+// A list is up to 100 ms old: one requested at the takeover may show the VM before its maintenance.
+Test(wave_planner, an_old_list_does_not_tell_that_an_earlier_maintenance_is_over)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.restore(1, {"a"}, true, at(0));
+    planner.update_waves(
+        {{1, {"a"}, milliseconds(20000), 1}, {2, {"a", "b"}, milliseconds(20000), 1}}, at(0));
+
+    // when
+    planner.plan(idle_vms(50), at(50));
+    planner.plan(vms_with_a_under_maintenance(500), at(500));
+
+    // then
+    cr_assert(planner.started_vms(2).empty());
+}
+
+// The maintenance of a completed wave withholds nothing under a later owner.
+Test(wave_planner, a_restored_completed_wave_reserves_no_vm)
+{
+    // given
+    wave_planner planner(wave_options{});
+    planner.restore(1, {"a"}, true, at(0));
+    planner.update_waves({{1, {"a"}, milliseconds(20000), 1}}, at(0));
+
+    // when, then
+    cr_assert(!planner.is_draining_or_down("a"));
+    cr_assert(!planner.has_unfinished_wave());
+}
+
 Test(wave_planner, a_drained_vm_that_the_list_misses_does_not_stay_drained)
 {
     // given
--- a/src/maintenance/wave_planner.cpp
+++ b/src/maintenance/wave_planner.cpp
@@ -49,9 +49,11 @@
     }
 }
 
-void wave_planner::restore(std::int64_t wave, std::set<std::string> started, bool completed)
+void wave_planner::restore(std::int64_t wave, std::set<std::string> started, bool completed,
+                           common::steady_time now)
 {
-    this->restored[wave] = {std::move(started), completed};
+    std::set<std::string> unsettled = started;
+    this->restored[wave] = {std::move(started), completed, std::move(unsettled), now};
 }
 
 bool wave_planner::is_withheld(const vm_progress& vm)
@@ -75,11 +77,29 @@
 
 bool wave_planner::may_be_for_another_wave(std::int64_t wave, const std::string& vm) const
 {
-    return std::any_of(this->waves.begin(), this->waves.end(), [&](const auto& each) {
-        const auto found = each.second.vms.find(vm);
-        return each.first != wave && found != each.second.vms.end() &&
-               found->second.phase != vm_phase::finished;
-    });
+    return std::any_of(this->waves.begin(), this->waves.end(),
+                       [&](const auto& each) {
+                           const auto found = each.second.vms.find(vm);
+                           return each.first != wave && found != each.second.vms.end() &&
+                                  found->second.phase != vm_phase::finished;
+                       }) ||
+           std::any_of(this->restored.begin(), this->restored.end(), [&](const auto& each) {
+               return each.first != wave && each.second.unsettled.contains(vm);
+           });
+}
+
+/// A wave is completed once its last maintenance has started, so an earlier owner's record does not
+/// tell that it is over.
+void wave_planner::settle_earlier_maintenance(const std::map<std::string, vm_snapshot>& vms)
+{
+    for (auto& [wave, progress] : this->restored) {
+        const auto shown_from = progress.restored_at + this->options.list_staleness;
+        std::erase_if(progress.unsettled, [&](const std::string& name) {
+            const auto listed = vms.find(name);
+            return listed != vms.end() && listed->second.up &&
+                   listed->second.list_requested_at > shown_from;
+        });
+    }
 }
 
 std::set<std::string> wave_planner::started_vms(std::int64_t wave) const
@@ -101,6 +121,7 @@
                                           common::steady_time now)
 {
     std::vector<wave_step> steps;
+    this->settle_earlier_maintenance(vms);
     for (auto& [number, wave] : this->waves) {
         if (!is_unfinished(wave)) {
             continue;
@@ -156,7 +177,7 @@
         if (listed->second.under_maintenance && is_expected &&
             !this->may_be_for_another_wave(wave.request.number, name)) {
             vm = {vm_phase::down, now, {}, false, false, {}};
-            steps.push_back({wave_step::kind::save_progress, wave.request.number, {}});
+            steps.push_back({wave_step::kind::save_progress, wave.request.number, name});
         }
         const bool maintenance_over =
             now - vm.since >= this->options.maintenance_time &&
@@ -254,7 +275,8 @@
         return;
     }
     vm_progress& progress = found->second.vms[vm];
-    if (progress.phase == vm_phase::down && outcome != order_outcome::permanently_rejected) {
+    const bool shown = progress.phase == vm_phase::down || progress.phase == vm_phase::finished;
+    if (shown && outcome != order_outcome::permanently_rejected) {
         return; // the VM list has shown that the order was carried out
     }
     switch (outcome) {
--- a/src/maintenance/wave_planner.h
+++ b/src/maintenance/wave_planner.h
@@ -53,13 +53,13 @@
         drain_vm,          ///< place no new work and move long-running tasks as their budgets allow
         undrain_vm,        ///< accept new work again
         start_maintenance, ///< order the maintenance
-        save_progress,     ///< record that the maintenance of one more VM has started
+        save_progress,     ///< record that the list shows the maintenance of one more VM
         report_running,
         report_completed,
     };
     kind what{};
     std::int64_t wave = 0;
-    std::string vm; ///< empty for reports and `save_progress`
+    std::string vm; ///< empty for reports
 
     friend bool operator==(const wave_step&, const wave_step&) = default;
 };
@@ -69,9 +69,10 @@
 public:
     explicit wave_planner(wave_options timing);
 
-    /// Restores the progress that an earlier owner made with a wave. Precondition: called before
-    /// the wave is passed to `update_waves`.
-    void restore(std::int64_t wave, std::set<std::string> started, bool completed);
+    /// Restores the progress that an earlier owner made with a wave, which operators may have
+    /// withdrawn since. Precondition: called before the wave is passed to `update_waves`.
+    void restore(std::int64_t wave, std::set<std::string> started, bool completed,
+                 common::steady_time now);
 
     /// Adds the waves that are new in `requested`, the list of all waves that operators requested.
     void update_waves(const std::vector<wave_request>& requested, common::steady_time now);
@@ -124,6 +125,7 @@
     [[nodiscard]] static bool is_withheld(const vm_progress& vm);
     [[nodiscard]] static bool is_unfinished(const wave_progress& wave);
     [[nodiscard]] bool may_be_for_another_wave(std::int64_t wave, const std::string& vm) const;
+    void settle_earlier_maintenance(const std::map<std::string, vm_snapshot>& vms);
     static void undrain_released(wave_progress& wave, std::vector<wave_step>& steps);
     static void update_missing(vm_progress& vm, common::steady_time list_requested_at,
                                common::steady_time now);
@@ -135,6 +137,9 @@
     struct restored_progress {
         std::set<std::string> started;
         bool completed = false;
+        /// Of `started`, the VMs whose maintenance may still be in progress.
+        std::set<std::string> unsettled;
+        common::steady_time restored_at;
     };
 
     wave_options options;
