Bound a wave's limit by its VMs, and log what is believed of its maintenance

Cause: the planner doubles the limit, which overflowed to a negative number.

Change: the limit is clamped to the wave's number of VMs. New events: wave_blocked for a limit below 1, wave_restored for what a new owner reads of a wave, maintenance_seen when the VM list stands in for the answer to an order.

--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -72,6 +72,9 @@
     vm_ordered = 5401,
     vm_order_failed = 5402,
     wave_progress = 5403,
+    wave_restored = 5404,
+    maintenance_seen = 5405,
+    wave_blocked = 5406,
     team_below_share = 5501,
     evacuation_begun = 5601,
     evacuation_done = 5602,
@@ -93,7 +96,7 @@
     severity level;
 };
 
-inline constexpr std::array<event_entry, 71> event_catalogue{{
+inline constexpr std::array<event_entry, 74> event_catalogue{{
     {event_id::node_started, "node_started", severity::info},
     {event_id::node_ready, "node_ready", severity::info},
     {event_id::node_stopping, "node_stopping", severity::info},
@@ -155,6 +158,9 @@
     {event_id::vm_ordered, "vm_ordered", severity::info},
     {event_id::vm_order_failed, "vm_order_failed", severity::warning},
     {event_id::wave_progress, "wave_progress", severity::info},
+    {event_id::wave_restored, "wave_restored", severity::info},
+    {event_id::maintenance_seen, "maintenance_seen", severity::info},
+    {event_id::wave_blocked, "wave_blocked", severity::warning},
     {event_id::team_below_share, "team_below_share", severity::warning},
     {event_id::evacuation_begun, "evacuation_begun", severity::info},
     {event_id::evacuation_done, "evacuation_done", severity::info},
--- a/src/daemon/fleet_controller.cpp
+++ b/src/daemon/fleet_controller.cpp
@@ -199,9 +199,13 @@
         const std::int64_t wave = std::stoll(stored.key.substr(store_keys::waves.size()));
         this->progress_revisions[wave] = stored.revision;
         const auto value = nlohmann::json::parse(stored.value);
-        this->planner.restore(wave, value.at("serviced").get<std::set<std::string>>(),
-                              value.at("completed").get<bool>(),
-                              this->dependencies.clock.steady_now());
+        const auto started = value.at("serviced").get<std::set<std::string>>();
+        const bool completed = value.at("completed").get<bool>();
+        this->planner.restore(wave, started, completed, this->dependencies.clock.steady_now());
+        this->dependencies.log.write(event_id::wave_restored, {{"wave", wave},
+                                                               {"started", started},
+                                                               {"completed", completed},
+                                                               {"token", this->fence.token}});
     } catch (const std::exception& failure) {
         // Maintenance orders of this wave may be repeated, which is harmless.
         this->dependencies.log.write(event_id::journal_failed,
@@ -289,6 +293,13 @@
 
 void fleet_controller::set_waves(const std::vector<maintenance::wave_request>& requested)
 {
+    for (const maintenance::wave_request& each : requested) {
+        if (each.max_unavailable < 1 && this->blocked_waves.insert(each.number).second) {
+            this->dependencies.log.write(event_id::wave_blocked, {{"wave", each.number},
+                                                                  {"cap", each.max_unavailable},
+                                                                  {"token", this->fence.token}});
+        }
+    }
     this->waves = requested;
     if (this->progress_restored) {
         this->planner.update_waves(requested, this->dependencies.clock.steady_now());
@@ -549,6 +560,7 @@
         this->order_maintenance(step);
         break;
     case kind::save_progress:
+        this->log_maintenance_seen(step, now);
         this->save_progress(step.wave, false);
         break;
     case kind::report_running:
@@ -558,6 +570,17 @@
     }
 }
 
+void fleet_controller::log_maintenance_seen(const maintenance::wave_step& step,
+                                            common::steady_time now) const
+{
+    const auto list_age =
+        std::chrono::duration_cast<common::milliseconds>(now - this->vm_list_requested_at);
+    this->dependencies.log.write(event_id::maintenance_seen, {{"wave", step.wave},
+                                                              {"vm", step.vm},
+                                                              {"list_age_ms", list_age.count()},
+                                                              {"token", this->fence.token}});
+}
+
 void fleet_controller::order_maintenance(const maintenance::wave_step& step)
 {
     const std::weak_ptr<int> alive = this->lifetime;
--- a/src/daemon/fleet_controller.h
+++ b/src/daemon/fleet_controller.h
@@ -92,6 +92,7 @@
                                 const common::result<store::commit_outcome>& outcome);
     void read_vm_list(common::steady_time now);
     void execute(const maintenance::wave_step& step, common::steady_time now);
+    void log_maintenance_seen(const maintenance::wave_step& step, common::steady_time now) const;
     void order_maintenance(const maintenance::wave_step& step);
     void plan_pools(common::steady_time now);
     void order_move(const fleet::vm_move& move);
@@ -126,6 +127,7 @@
     std::shared_ptr<const fleet_configuration> configuration;
     maintenance::wave_planner planner;
     std::vector<maintenance::wave_request> waves;
+    std::set<std::int64_t> blocked_waves; ///< that were logged as such
     scheduling::evacuated_zones zones_to_evacuate;
     bool progress_restored = false; ///< the progress made under earlier holders has been read
     fleet::pool_planner pools;
--- a/src/maintenance/tests/wave_planner_tests.cpp
+++ b/src/maintenance/tests/wave_planner_tests.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include <criterion/criterion.h>
 
 #include "maintenance/wave_planner.h"
@@ -54,6 +56,38 @@
     cr_assert(second.empty());
 }
 
+// Twice the limit overflowed, and the wave stayed `running` for good.
+Test(wave_planner, a_limit_beyond_all_vms_allows_them_all)
+{
+    // given
+    wave_planner planner(wave_options{});
+    wave_request unlimited = two_of_three;
+    unlimited.max_unavailable = std::numeric_limits<std::int64_t>::max();
+    planner.update_waves({unlimited}, at(0));
+    planner.plan(idle_vms(0), at(0));
+
+    // when, then
+    cr_assert(vms_with_step(planner.plan(idle_vms(0), at(100)), kind::start_maintenance).size() ==
+              3);
+}
+
+Test(wave_planner, a_limit_of_none_or_less_allows_no_maintenance)
+{
+    for (const std::int64_t limit : {std::int64_t{0}, std::numeric_limits<std::int64_t>::min()}) {
+        // given
+        wave_planner planner(wave_options{});
+        wave_request blocked = two_of_three;
+        blocked.max_unavailable = limit;
+        planner.update_waves({blocked}, at(0));
+        planner.plan(idle_vms(0), at(0));
+
+        // when, then
+        const auto steps = planner.plan(idle_vms(0), at(100));
+        cr_assert(vms_with_step(steps, kind::start_maintenance).empty());
+        cr_assert(vms_with_step(steps, kind::drain_vm).empty());
+    }
+}
+
 Test(wave_planner, an_unanswered_order_still_counts_against_the_limit)
 {
     // given
--- a/src/maintenance/wave_planner.cpp
+++ b/src/maintenance/wave_planner.cpp
@@ -204,6 +204,8 @@
                              common::steady_time now, std::vector<wave_step>& steps)
 {
     const std::int64_t number = wave.request.number;
+    const std::int64_t max_down = std::clamp<std::int64_t>(
+        wave.request.max_unavailable, 0, static_cast<std::int64_t>(wave.vms.size()));
     if (!wave.running_reported && !wave.report_in_flight) {
         wave.report_in_flight = true;
         steps.push_back({wave_step::kind::report_running, number, {}});
@@ -243,7 +245,7 @@
         const bool drain_timed_out = now - vm.since > this->options.drain_timeout;
         const bool empty = listed->second.long_running == 0 &&
                            (listed->second.other_running == 0 || drain_timed_out);
-        const bool slot = down < wave.request.max_unavailable || vm.may_have_started;
+        const bool slot = down < max_down || vm.may_have_started;
         if (empty && slot && now >= vm.retry_at) {
             down += vm.may_have_started ? 0 : 1;
             --draining;
@@ -255,7 +257,7 @@
         }
     }
     std::sort(candidates.begin(), candidates.end());
-    const std::int64_t max_in_progress = wave.request.max_unavailable * (1 + drained_ahead);
+    const std::int64_t max_in_progress = max_down * (1 + drained_ahead);
     for (const auto& [cost, name] : candidates) {
         if (down + draining >= max_in_progress) {
             break;
