Start a task again once another worker answers at its worker's address

Cause: an answer 421 was taken for one of the next instance of the same worker, on which a start that is in flight may still begin. But commands name a worker's id: whoever answers 421 has another id, and rejects them all. Beside it, each such answer put off the time from which an owner that has sent nothing counts by 18.3 s, though its predecessor sends nothing after the claim.

Change: 421 is an outcome of its own (other_worker), after which all runs of the worker are lost, in flight or not. An instance with another start time still keeps them, but for 18.3 s from the takeover and no longer.

Conclusion: the start is made again at the first poll of the address.

--- a/src/fakes/run_model.cpp
+++ b/src/fakes/run_model.cpp
@@ -48,8 +48,10 @@
 
 command_outcome run_model::admit(const scheduling::worker_instance& meant, std::int64_t token)
 {
-    if (this->options.compares_id_only ? meant.id != this->told.instance.id
-                                       : meant != this->told.instance) {
+    if (meant.id != this->told.instance.id) {
+        return command_outcome::other_worker;
+    }
+    if (!this->options.compares_id_only && meant != this->told.instance) {
         return command_outcome::other_instance;
     }
     if (token < this->highest_token && !this->options.obeys_older_owners) {
--- a/src/scheduling/messages.h
+++ b/src/scheduling/messages.h
@@ -267,6 +267,7 @@
     other_instance, ///< another instance of the worker answered
     not_sent,       ///< no connection to the worker
     unknown,        ///< no response; may have been executed, or may be later
+    other_worker,   ///< a worker with another id answered, which has done nothing
 };
 
 /// Returns the name used in logs. Thread safe.
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -49,6 +49,8 @@
         return "unhealthy";
     case command_outcome::other_instance:
         return "other instance";
+    case command_outcome::other_worker:
+        return "other worker";
     case command_outcome::not_sent:
         return "not sent";
     case command_outcome::unknown:
@@ -87,6 +89,7 @@
 {
     this->last_now = now;
     this->last_unix_ms = unix_ms;
+    this->restored_at = now;
     this->input_confirmed_at = now;
     this->earlier_stops_until = now + this->options.stop_grace + max_command_delay;
     this->recent_crashes = crash_rate(now);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -551,6 +551,7 @@
     std::uint64_t next_batch = 1;
     common::steady_time authority_until;
     common::steady_time input_confirmed_at;
+    common::steady_time restored_at;        ///< earlier owners send nothing from then on
     std::int64_t newest_stale_revision = 0; ///< notifications up to it are ignored
     common::steady_time last_now;
     common::milliseconds batch_window{0};
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -246,13 +246,23 @@
     if (answer.outcome != command_outcome::accepted) {
         worker->missed_poll_sent_at = answer.sent_at;
     }
+    if (answer.outcome == command_outcome::other_worker) {
+        // It rejects all commands with the id of this one, also those that are still in flight.
+        this->mark_runs_lost(*worker, worker_loss::unexplained,
+                             "another worker answers at its address", now);
+        this->schedule_poll(*worker, now + poll_retry_interval);
+        ++worker->missed_polls;
+        return;
+    }
     if (answer.outcome == command_outcome::other_instance) {
         const std::set<jobs::task_id> in_flight = this->starts_for_next_instance(*worker);
         this->mark_runs_lost(*worker, worker_loss::unexplained,
                              "another worker instance answers at its address", now, in_flight);
         if (!in_flight.empty()) {
-            // An owner that has sent nothing yet doesn't know when its predecessor did.
-            const common::steady_time sent_at = worker->token_seen ? worker->deadline_sent_at : now;
+            // An owner that has sent nothing yet doesn't know when its predecessor did, but that it
+            // no longer did after the claim had changed hands.
+            const common::steady_time sent_at =
+                worker->token_seen ? worker->deadline_sent_at : this->restored_at;
             worker->leases_end_by = std::max(
                 worker->leases_end_by, sent_at + max_execution_delay + this->options.longest_lease);
         }
--- a/src/scheduling/tests/scheduler_takeover_tests.cpp
+++ b/src/scheduling/tests/scheduler_takeover_tests.cpp
@@ -140,6 +140,49 @@
     cr_assert(fixture.starts.front().task.index == 1);
 }
 
+// Rule LOST: a worker with another id answered at the address of one that had ended during the
+// takeover, and each answer put off the time from which the task was started again.
+Test(scheduler_takeover, a_task_is_started_again_once_another_worker_answers_at_the_address)
+{
+    // given
+    jobs::job lasting = make_job("j1");
+    lasting.steps[0].long_running = true;
+    job_progress progress = initial_progress(lasting);
+    progress.tasks[0][0][0] = {task_progress::phase::open, 1, 0, {"w1", 1}, {}};
+    scheduler_fixture fixture({make_worker("w1"), make_worker("w2")}, {{lasting, progress, false}});
+    fixture.answer_poll("w2");
+
+    // when
+    fixture.under_test.handle_poll_result(
+        {{"w1", 1}, fixture.now(), command_outcome::other_worker, {}}, fixture.now());
+    fixture.advance(300);
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.starts[0].worker.id == "w2");
+}
+
+Test(scheduler_takeover, answers_of_another_instance_do_not_put_off_the_end_of_the_leases)
+{
+    // given
+    job_progress progress = initial_progress(make_job("j1"));
+    progress.tasks[0][0][0] = {task_progress::phase::open, 1, 0, {"w1", 1}, {}};
+    scheduler_fixture fixture({make_worker("w1"), make_worker("w2")},
+                              {{make_job("j1"), progress, false}});
+
+    // when: the start of the earlier owner may begin 12 s late, with a lease of 6.3 s
+    while (fixture.now_ms < 19'000 && fixture.starts.empty()) {
+        fixture.answer_poll("w2");
+        fixture.under_test.handle_poll_result(
+            {{"w1", 1}, fixture.now(), command_outcome::other_instance, {}}, fixture.now());
+        fixture.advance(fixture.now_ms + 250);
+    }
+
+    // then
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.now_ms > 18'000);
+}
+
 /// Returns a job that an earlier version accepted: the sum of its tasks overflows.
 jobs::job make_endless_job(const std::string& id)
 {
