--- a/src/jobs/job_checker.cpp
+++ b/src/jobs/job_checker.cpp
@@ -32,8 +32,7 @@
     for (const auto& [resource, amount] :
          {std::pair{".processors", size.processors}, std::pair{".memory_mb", size.memory_mb},
           std::pair{".accelerators", size.accelerators}}) {
-        const std::string problem = problem_in_amount(name + resource, amount);
-        if (!problem.empty()) {
+        if (std::string problem = problem_in_amount(name + resource, amount); !problem.empty()) {
             return problem;
         }
     }
